Answer requests that reach a daemon at the end of its planned stop

Cause: http.Server.Shutdown sets a flag; a connection's goroutine that has read a request drops it when the flag is set, and closes the connection. So a request on a connection that was opened in time, but read after the call, ended with EOF and stood in no log line.

Both daemons use it.

Before: TestStopAnswersLateRequests fails (unexpected EOF).

--- a/internal/adapter/rrhttp/listen.go
+++ b/internal/adapter/rrhttp/listen.go
@@ -30,15 +30,31 @@
 // WithAddressLimit bounds the connections from one IP number at once.
 func WithAddressLimit(n int) ListenOption { return func(g *guard) { g.limit = n } }
 
+// WithServer lets the server end the listener when it leaves.
+func WithServer(s *Server) ListenOption { return func(g *guard) { g.Listener = s.Listener(g.bound) } }
+
+// Bind returns a listener on the address of the network, tcp or tcp4.
+func Bind(ctx context.Context, network, address string) (*net.TCPListener, error) {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, network, address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listening on %s", address)
+	}
+	bound, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil, eris.Errorf("listening on %s: %T is not a TCP listener", address, l)
+	}
+	return bound, nil
+}
+
 // Listen returns a listener that holds at most connections at once. Further
 // ones wait until one ends; those over the limit of their IP number are closed.
 func Listen(ctx context.Context, address string, connections int, opts ...ListenOption) (net.Listener, error) {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", address)
+	bound, err := Bind(ctx, "tcp", address)
 	if err != nil {
-		return nil, eris.Wrapf(err, "listening on %s", address)
+		return nil, err
 	}
-	g := &guard{Listener: l, limit: connections, counts: make(map[netip.Addr]int)}
+	g := &guard{Listener: bound, bound: bound, limit: connections, counts: make(map[netip.Addr]int)}
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -48,6 +64,8 @@
 // guard is a listener that closes connections over the limit of their address.
 type guard struct {
 	net.Listener
+	// bound is the listener below, without what options put around it.
+	bound *net.TCPListener
 	limit int
 
 	// mu guards counts, the open connections of each address that has any.
@@ -111,13 +129,13 @@
 
 // NewServer returns a server with the limits of every listener. Responses that
 // a slow reader does not take within writeTimeout are cut.
-func NewServer(h http.Handler, writeTimeout time.Duration) *http.Server {
-	return &http.Server{
+func NewServer(h http.Handler, writeTimeout time.Duration) *Server {
+	return Wrap(&http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
-	}
+	})
 }
--- a/internal/adapter/rrhttp/rrhttp_test.go
+++ b/internal/adapter/rrhttp/rrhttp_test.go
@@ -54,7 +54,7 @@
 }
 
 // start serves the callers' port with the limits given.
-func start(t *testing.T, connections int, change func(*http.Server), opts ...rrhttp.CallersOption) *fixture {
+func start(t *testing.T, connections int, change func(*rrhttp.Server), opts ...rrhttp.CallersOption) *fixture {
 	t.Helper()
 	def, err := rrexample.Selkamerkki()
 	must.NoError(t, err)
@@ -121,7 +121,7 @@
 	must.NoError(t, err)
 }
 
-func unchanged(*http.Server) {}
+func unchanged(*rrhttp.Server) {}
 
 func TestSlowHeaderLosesItsConnection(t *testing.T) {
 	t.Parallel()
@@ -136,7 +136,7 @@
 
 func TestSlowBodyLosesItsConnection(t *testing.T) {
 	t.Parallel()
-	f := start(t, 10, func(srv *http.Server) { srv.ReadTimeout = time.Second })
+	f := start(t, 10, func(srv *rrhttp.Server) { srv.ReadTimeout = time.Second })
 	slow := f.dial(t)
 	write(t, slow, "POST /v1/query HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n{")
 	// A slow body takes no place among the queries under way.
--- a/internal/app/rrdaemon/rrdaemon.go
+++ b/internal/app/rrdaemon/rrdaemon.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -56,7 +55,7 @@
 	metrics *rrmetrics.Metrics
 	dump    *rrdump.Registry
 
-	callers *http.Server
+	callers *rrhttp.Server
 	peers   *rrlink.Server
 
 	control  *rrmembers.Members
@@ -147,18 +146,13 @@
 	return d.servePeers(ctx, work, group)
 }
 
-func (d *Daemon) serveHTTP(ctx, work context.Context, group *errgroup.Group, srv *http.Server, address string, connections int, opts ...rrhttp.ListenOption) error {
-	l, err := rrhttp.Listen(ctx, address, connections, opts...)
+func (d *Daemon) serveHTTP(ctx, work context.Context, group *errgroup.Group, srv *rrhttp.Server, address string, connections int, opts ...rrhttp.ListenOption) error {
+	l, err := rrhttp.Listen(ctx, address, connections, append(opts, rrhttp.WithServer(srv))...)
 	if err != nil {
 		return err
 	}
 	srv.ErrorLog = d.log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
-	group.Go(func() error {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return eris.Wrapf(err, "serving %s", address)
-		}
-		return nil
-	})
+	group.Go(func() error { return eris.Wrapf(srv.Serve(l), "serving %s", address) })
 	group.Go(func() error {
 		<-work.Done()
 		stop, cancel := context.WithTimeout(context.WithoutCancel(work), d.settings.Times.Stop.Std())
--- a/internal/app/rrnode/rrnode.go
+++ b/internal/app/rrnode/rrnode.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -19,6 +18,7 @@
 
 	"rhubarbreel.example/rhubarbreel/internal/adapter/rrconn"
 	"rhubarbreel.example/rhubarbreel/internal/adapter/rrfront"
+	"rhubarbreel.example/rhubarbreel/internal/adapter/rrhttp"
 	"rhubarbreel.example/rhubarbreel/internal/adapter/rrlink"
 	"rhubarbreel.example/rhubarbreel/internal/app/rrfollow"
 	"rhubarbreel.example/rhubarbreel/internal/app/rrgateway"
@@ -148,7 +148,7 @@
 
 // listener is a server and where it listens.
 type listener struct {
-	server  *http.Server
+	server  *rrhttp.Server
 	address netip.AddrPort
 }
 
@@ -170,9 +170,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.ReadyPath, n.ready)
 	ready := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	all := []listener{{callers, n.site.Callers}, {ready, n.site.Ready}}
+	all := []listener{{rrhttp.Wrap(callers), n.site.Callers}, {rrhttp.Wrap(ready), n.site.Ready}}
 	if n.site.Metrics.IsValid() {
-		all = append(all, listener{n.operators(), n.site.Metrics})
+		all = append(all, listener{rrhttp.Wrap(n.operators()), n.site.Metrics})
 	}
 	return all
 }
@@ -180,7 +180,7 @@
 // start starts all that runs beside the callers' requests.
 func (n *Node) start(ctx context.Context, group *errgroup.Group, peers *grpc.Server, listeners []listener) error {
 	for _, l := range listeners {
-		if err := n.listen(ctx, group, l.server, l.address); err != nil {
+		if err := n.listen(ctx, group, l); err != nil {
 			return err
 		}
 	}
@@ -192,27 +192,20 @@
 	return nil
 }
 
-func (n *Node) listen(ctx context.Context, group *errgroup.Group, srv *http.Server, address netip.AddrPort) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp4", address.String())
+func (n *Node) listen(ctx context.Context, group *errgroup.Group, l listener) error {
+	bound, err := rrhttp.Bind(ctx, "tcp4", l.address.String())
 	if err != nil {
-		return eris.Wrapf(err, "listening on %s", address)
+		return err
 	}
-	srv.ErrorLog = n.log.Logger().StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
-	group.Go(func() error {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return eris.Wrapf(err, "serving %s", address)
-		}
-		return nil
-	})
+	l.server.ErrorLog = n.log.Logger().StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
+	group.Go(func() error { return eris.Wrapf(l.server.Serve(l.server.Listener(bound)), "serving %s", l.address) })
 	return nil
 }
 
 func (n *Node) servePeers(ctx context.Context, group *errgroup.Group, srv *grpc.Server) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp4", n.site.Peers.String())
+	l, err := rrhttp.Bind(ctx, "tcp4", n.site.Peers.String())
 	if err != nil {
-		return eris.Wrapf(err, "listening on %s", n.site.Peers)
+		return err
 	}
 	group.Go(func() error { return eris.Wrap(srv.Serve(l), "serving peers") })
 	group.Go(func() error {
@@ -238,18 +231,22 @@
 
 func (n *Node) isReady() bool { return !n.leaving.Load() && n.gateway.Table() != nil }
 
+// turnAway returns how long callers are served before the daemon takes no more
+// connections.
+func (n *Node) turnAway() time.Duration { return min(turnAway, n.site.Bounds.Grace/2) }
+
 // leave takes the daemon out of service without cutting a request: the balancer
 // is told, callers are served until it has turned away, and what is under way
 // is answered.
-func (n *Node) leave(ctx context.Context, callers *http.Server) {
+func (n *Node) leave(ctx context.Context, callers *rrhttp.Server) {
 	start := time.Now()
 	n.leaving.Store(true)
 	n.log.Belief("leaving", "grace", n.site.Bounds.Grace)
-	time.Sleep(min(turnAway, n.site.Bounds.Grace/2))
+	time.Sleep(n.turnAway())
 	left := n.site.Bounds.Grace - stopMargin - time.Since(start)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := callers.Leave(ctx); err != nil {
 		n.log.Failure("callers cut", "err", err)
 	}
 }
--- /dev/null
+++ b/internal/test/rrplatform/stop_test.go
@@ -0,0 +1,77 @@
+package rrplatform_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// opened is a connection of a caller's own, on which it sends when it likes.
+type opened struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (d *daemon) open(t *testing.T) *opened {
+	t.Helper()
+	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", d.site.Callers.String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	must.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	return &opened{conn: conn, in: bufio.NewReader(conn)}
+}
+
+func (o *opened) send(path string) error {
+	_, err := fmt.Fprintf(o.conn, "GET %s HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: %s\r\nX-Time-Budget-Ms: 2000\r\n\r\n", path, newID())
+	return err
+}
+
+// receive reads the next answer and whether the connection ends with it.
+func (o *opened) receive() (a answer, closes bool) {
+	res, err := http.ReadResponse(o.in, nil)
+	if err != nil {
+		return answer{err: err}, true
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	return answer{status: res.StatusCode, header: res.Header, body: string(body), err: err}, res.Close
+}
+
+// At the end of a planned stop, a request that comes on a connection that was opened
+// before is answered while another one is still under way.
+func TestStopAnswersLateRequests(t *testing.T) {
+	f := newFleet(t)
+	d := f.start("d1", "a")
+	for _, s := range f.of("one") {
+		s.SetWork(400 * time.Millisecond)
+	}
+	slow := d.open(t)
+	d.stop()
+	// The half of the grace period in which the balancer turns away.
+	turned := time.After(d.site.Bounds.Grace / 2)
+	time.Sleep(d.site.Bounds.Grace/2 - 200*time.Millisecond)
+	must.NoError(t, slow.send("/one/slow"))
+	late := d.open(t)
+	<-turned
+	time.Sleep(50 * time.Millisecond)
+	must.NoError(t, late.send("/one/late"))
+	for _, o := range []*opened{slow, late} {
+		a, closes := o.receive()
+		must.NoError(t, a.err)
+		must.Eq(t, http.StatusOK, a.status)
+		must.True(t, closes, must.Sprint("the connection stays open"))
+	}
+	select {
+	case err := <-d.done:
+		must.NoError(t, err)
+		d.done <- nil
+	case <-time.After(d.site.Bounds.Grace):
+		t.Fatal("it does not stop within the grace period")
+	}
+}
