Tell joining searchers apart from those that were there

Cause: when a dispatcher takes a new configuration, a searcher that joins gets a bit that no searcher has; but those not yet taken over did not count, so that a searcher listed before them got the bit of one. To a job, both were then tried after one attempt: it was given up, or left without a second attempt, though a searcher was free. On the platform the list is in the order of ids, so that this follows every release, replacement and scaling.

Ruled out: the queue (nothing waited), room at the searchers (loads of 0), health.

--- a/internal/policy/rrdispatch/configure.go
+++ b/internal/policy/rrdispatch/configure.go
@@ -65,13 +65,14 @@
 func (s *Shard) configureSearchers() {
 	old := s.searchers
 	s.searchers = nil
+	used := s.usedBits(old)
 	for _, c := range s.cfg.Searchers {
 		w := takeSearcher(&old, c.ID)
 		if w == nil {
 			w = takeSearcher(&s.gone, c.ID)
 		}
 		if w == nil {
-			w = s.newSearcher()
+			w = newSearcher(&used)
 		}
 		if w == nil {
 			continue
@@ -97,13 +98,13 @@
 	return nil
 }
 
-// newSearcher returns a searcher with a bit of its own, or nil if there are too
-// many.
-func (s *Shard) newSearcher() *searcher {
-	used := s.usedBits()
+// newSearcher returns a searcher with a bit that is not used yet, or nil if there are
+// too many.
+func newSearcher(used *mask) *searcher {
 	for i := range MaxSearchers {
 		bit := mask(1) << i
-		if used&bit == 0 {
+		if *used&bit == 0 {
+			*used |= bit
 			w := &searcher{bit: bit, health: healthUp}
 			w.chill()
 			return w
@@ -112,9 +113,10 @@
 	return nil
 }
 
-func (s *Shard) usedBits() mask {
+// usedBits returns the bits of the searchers given and of those that are gone.
+func (s *Shard) usedBits(searchers []*searcher) mask {
 	var used mask
-	for _, w := range s.searchers {
+	for _, w := range searchers {
 		used |= w.bit
 	}
 	for _, w := range s.gone {
@@ -127,7 +129,7 @@
 // other searchers will have them. This looks at each job, but definitions
 // change rarely.
 func (s *Shard) cleanTried() {
-	used := s.usedBits()
+	used := s.usedBits(s.searchers)
 	for _, j := range s.jobs {
 		j.tried &= used
 	}
