--- /dev/null
+++ b/internal/test/rrplatform/bench_test.go
@@ -0,0 +1,36 @@
+package rrplatform_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// benchShards is as many shards as a query of a grown deployment goes to.
+const benchShards = 36
+
+// The time of one query to many shards, the stand-ins of searchers and the caller
+// included.
+func BenchmarkGather(b *testing.B) {
+	f := newFleet(b)
+	for i := range benchShards {
+		name := fmt.Sprintf("m%d", i)
+		f.more = append(f.more, name)
+		f.addSearcher(name, "a")
+		f.addSearcher(name, "b")
+	}
+	f.putConfig(func(routes map[string]map[string]any) { routes["many"] = routing.Gather("many", f.more, 10, 0.9) })
+	d := f.start("d1", "a")
+	f.eventually("all shards are in", func() bool {
+		a := d.get("/many/warm")
+		return a.status == http.StatusOK && a.header.Get("X-Missing-Parts") == "0"
+	})
+	b.ReportAllocs()
+	for b.Loop() {
+		a := d.get("/many/1")
+		must.NoError(b, a.err)
+		must.Eq(b, http.StatusOK, a.status)
+	}
+}
--- a/internal/test/rrplatform/fleet_test.go
+++ b/internal/test/rrplatform/fleet_test.go
@@ -30,14 +30,19 @@
 
 // fleet is a deployment: a store, searchers and daemons.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	store     *standin.Store
 	address   netip.AddrPort
 	searchers map[string]*standin.Searcher
 	daemons   []*daemon
 	version   int
+	// more are services beside the usual ones.
+	more []string
 }
 
+// routing is what all routes have in common.
+var routing = standin.Routing{Host: "x.example", Timeout: 2 * time.Second, Target: 500 * time.Millisecond, Attempts: 2}
+
 // daemon is one daemon of the fleet.
 type daemon struct {
 	site *rrsettings.Site
@@ -50,7 +55,7 @@
 
 // newFleet starts a store and searchers: services s0 to s2 are the shards of
 // /all/, and one is the service of /one/ (idempotent) and /once/ (not).
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: standin.NewStore(), searchers: make(map[string]*standin.Searcher)}
 	srv := httptest.NewServer(f.store.Handler())
@@ -102,7 +107,6 @@
 // putConfig writes the next version of the configuration, after change.
 func (f *fleet) putConfig(change func(routes map[string]map[string]any)) {
 	f.version += 2
-	routing := standin.Routing{Host: "x.example", Timeout: 2 * time.Second, Target: 500 * time.Millisecond, Attempts: 2}
 	routes := map[string]map[string]any{
 		"all": routing.Gather("all", []string{"s0", "s1", "s2"}, 4, 0.6),
 		"one": routing.Route("one", "one", true), "once": routing.Route("once", "one", false),
@@ -110,14 +114,14 @@
 	if change != nil {
 		change(routes)
 	}
-	services := []string{"s0", "s1", "s2", "one", "other"}
+	services := append([]string{"s0", "s1", "s2", "one", "other"}, f.more...)
 	f.store.Put(standin.ObjectTables, standin.TableName, standin.Table(f.version, services, slices.Collect(maps.Values(routes))...))
 }
 
 // ports gives daemons addresses that no connection takes before they listen.
 var ports = rrfleet.NewPorts()
 
-func freeAddress(t *testing.T) netip.AddrPort {
+func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
 	address, err := ports.Next(t.Context())
 	must.NoError(t, err)
--- a/internal/test/rrplatform/process_test.go
+++ b/internal/test/rrplatform/process_test.go
@@ -53,7 +53,7 @@
 }
 
 // daemonCommand returns the built daemon with a settings file, not yet started.
-func daemonCommand(t *testing.T, file string, logs io.Writer, args ...string) *exec.Cmd {
+func daemonCommand(t testing.TB, file string, logs io.Writer, args ...string) *exec.Cmd {
 	t.Helper()
 	path, err := builtDaemon()
 	must.NoError(t, err)
@@ -90,7 +90,7 @@
 }
 
 // stop stops the process, which must end by itself.
-func (p *process) stop(t *testing.T) {
+func (p *process) stop(t testing.TB) {
 	if p.cmd.ProcessState != nil {
 		return
 	}
