Connect to searchers before it is needed, and send again what they did not read

Less processor time a subquery: fields are encoded once, goroutines used again, idle connections counted only where a searcher is chosen.

--- a/internal/adapter/rrconn/exchange.go
+++ b/internal/adapter/rrconn/exchange.go
@@ -89,8 +89,7 @@
 	}
 	line(req.Method, " ", req.URI, " HTTP/1.1")
 	line("Host: ", req.Host)
-	// Writing to a buffer cannot fail.
-	_ = req.Header.Write(&b)
+	b.Write(req.Header)
 	line(c.fields.Request, ": ", string(req.ID))
 	line(c.fields.Left, ": ", strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	line(c.fields.Expect, ": ", string(to.ID))
@@ -112,7 +111,11 @@
 			return broken(ctx, err)
 		}
 		if res.status >= http.StatusOK && c.isOurs(res, req) {
-			p.answered(time.Since(start))
+			took := time.Since(start)
+			p.answered(took)
+			if !k.used {
+				c.noteAccepting(took - k.opened)
+			}
 			return c.take(k, res)
 		}
 	}
@@ -201,7 +204,7 @@
 	// new ones when it has too many; it may well take the next. That takes less
 	// time than any answer.
 	isReset := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-	if (k.used || isReset) && time.Since(start) < p.soonest(k) {
+	if (k.used || isReset) && time.Since(start) < c.soonest(p, k) {
 		return rrforward.Response{Outcome: rrupstream.OutcomeStale, Err: err}
 	}
 	return rrforward.Response{Outcome: rrupstream.OutcomeLost, Err: err}
--- a/internal/adapter/rrconn/pool.go
+++ b/internal/adapter/rrconn/pool.go
@@ -19,6 +19,10 @@
 	idleMargin = 500 * time.Millisecond
 )
 
+// acceptSpread is by how much the time varies in which a busy searcher accepts or resets
+// a connection. Few answers to requests on new connections come that soon.
+const acceptSpread = 10 * time.Millisecond
+
 // leastAnswer is the least time that a searcher works on a request.
 const leastAnswer = time.Millisecond
 
@@ -77,6 +81,19 @@
 	return k
 }
 
+// count returns how many idle connections there are that may be used.
+func (p *pool) count(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, k := range p.idle {
+		if now.Before(k.idleUntil) {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *pool) put(k *kept, now time.Time) {
 	k.usable = false
 	p.mu.Lock()
@@ -106,15 +123,11 @@
 	}
 }
 
-// soonest returns the time before which no answer comes: the shortest so far or,
-// before the first, the time to open the connection.
-func (p *pool) soonest(k *kept) time.Duration {
+// leastTime returns the shortest time in which the searcher answered; zero before.
+func (p *pool) leastTime() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.shortest == 0 {
-		return k.opened + leastAnswer
-	}
-	return max(p.shortest, leastAnswer)
+	return p.shortest
 }
 
 func (p *pool) close() {
--- a/internal/adapter/rrconn/rrconn.go
+++ b/internal/adapter/rrconn/rrconn.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,6 +39,10 @@
 	// mu guards pools.
 	mu    sync.Mutex
 	pools map[rrunit.SearcherID]*pool
+
+	// accepting is the least time beyond a round trip in which any searcher has
+	// answered on a new connection, in nanoseconds; zero before the first.
+	accepting atomic.Int64
 }
 
 // New returns a client for searchers that use the fields given.
@@ -96,6 +101,23 @@
 	return false
 }
 
+// Idle implements rrforward.Forwarder.
+func (c *Client) Idle(to rrforward.Target) int { return c.pool(to).count(time.Now()) }
+
+// Connect implements rrforward.Forwarder.
+func (c *Client) Connect(ctx context.Context, to rrforward.Target) error {
+	p := c.pool(to)
+	if p.count(time.Now()) > 0 {
+		return nil
+	}
+	k, err := c.dial(ctx, to, time.Now().Add(dialTimeout))
+	if err != nil {
+		return err
+	}
+	p.put(k, time.Now())
+	return nil
+}
+
 func (c *Client) dial(ctx context.Context, to rrforward.Target, deadline time.Time) (*kept, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -124,6 +146,27 @@
 	return p
 }
 
+// noteAccepting takes how long beyond a round trip the first answer on a connection
+// took.
+func (c *Client) noteAccepting(took time.Duration) {
+	for took > 0 {
+		least := c.accepting.Load()
+		if least > 0 && least <= int64(took) || c.accepting.CompareAndSwap(least, int64(took)) {
+			return
+		}
+	}
+}
+
+// soonest returns the time before which no answer comes on the connection. A new one
+// is accepted before anything is read from it.
+func (c *Client) soonest(p *pool, k *kept) time.Duration {
+	shortest := p.leastTime()
+	if k.used {
+		return max(shortest, leastAnswer)
+	}
+	return max(shortest, k.opened+max(leastAnswer, time.Duration(c.accepting.Load()))+acceptSpread)
+}
+
 // Retain closes the idle connections to all searchers that keep does not name.
 func (c *Client) Retain(keep func(rrunit.SearcherID) bool) {
 	c.mu.Lock()
--- a/internal/adapter/rrconn/rrconn_test.go
+++ b/internal/adapter/rrconn/rrconn_test.go
@@ -73,7 +73,7 @@
 // named returns a request with the id r-N.
 func named(n string) *rrforward.Request {
 	return &rrforward.Request{
-		Method: http.MethodGet, URI: "/a%2Fb/?q=1&&x", Host: "h.example", Header: http.Header{"X-Other": {"1", "2"}},
+		Method: http.MethodGet, URI: "/a%2Fb/?q=1&&x", Host: "h.example", Header: rrforward.EncodeHeader(http.Header{"X-Other": {"1", "2"}}),
 		ID: rrunit.RequestID("r-" + n), Idempotent: true,
 	}
 }
@@ -188,6 +188,32 @@
 	must.Eq(t, 2, s.conns.Load())
 }
 
+// A connection that was opened before it was needed is used by the next request.
+func TestConnectionIsReady(t *testing.T) {
+	s, to := serve(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+		for {
+			if _, _, err := read(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answer("r-1", "hello"))
+		}
+	})
+	c := newClient(t)
+	must.Zero(t, c.Idle(to))
+	for range 2 {
+		must.NoError(t, c.Connect(t.Context(), to))
+		must.Eq(t, 1, c.Idle(to))
+	}
+	res := forward(t, c, to, named("1"))
+	must.Eq(t, rrupstream.OutcomeAnswered, res.Outcome)
+	must.False(t, res.Dialled)
+	must.Eq(t, 1, s.conns.Load())
+	must.Eq(t, 1, c.Idle(to))
+	must.NoError(t, s.listener.Close())
+	c.Retain(func(rrunit.SearcherID) bool { return false })
+	must.Error(t, c.Connect(t.Context(), to))
+}
+
 // A second answer that comes late belongs to no request: it is passed over, and
 // the answer that follows is taken.
 func TestExtraAnswerIsPassedOver(t *testing.T) {
@@ -307,6 +333,27 @@
 	must.Eq(t, rrupstream.OutcomeAnswered, forward(t, c, to, named("1")).Outcome)
 }
 
+// A searcher that resets a new connection sooner than any searcher has answered on one
+// has read nothing from it, however long the reset took.
+func TestResetBeforeAccepting(t *testing.T) {
+	const accepting = 60 * time.Millisecond
+	_, sound := serve(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+		_, _, _ = read(r)
+		time.Sleep(accepting)
+		_, _ = io.WriteString(conn, answer("r-1", "hello"))
+	})
+	_, full := serve(t, func(_ int64, conn net.Conn, _ *bufio.Reader) {
+		time.Sleep(accepting / 3)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	})
+	c := newClient(t)
+	must.Eq(t, rrupstream.OutcomeLost, forward(t, c, full, named("1")).Outcome, must.Sprint("nothing is known"))
+	must.Eq(t, rrupstream.OutcomeAnswered, forward(t, c, sound, named("1")).Outcome)
+	must.Eq(t, rrupstream.OutcomeStale, forward(t, c, full, named("1")).Outcome)
+}
+
 // No more idle connections are kept than the target says, and no longer.
 func TestIdleConnectionsAreBounded(t *testing.T) {
 	var open atomic.Int64
--- a/internal/adapter/rrfront/rrfront.go
+++ b/internal/adapter/rrfront/rrfront.go
@@ -64,7 +64,7 @@
 			Method: r.Method,
 			URI:    r.RequestURI,
 			Host:   r.Host,
-			Header: f.endToEnd(r.Header),
+			Header: rrforward.EncodeHeader(f.endToEnd(r.Header)),
 			Body:   body,
 			ID:     f.id(r),
 		},
--- a/internal/adapter/rrfront/rrfront_test.go
+++ b/internal/adapter/rrfront/rrfront_test.go
@@ -43,6 +43,10 @@
 
 func (r *recorder) IsDead(context.Context, rrforward.Target) bool { return false }
 
+func (r *recorder) Idle(rrforward.Target) int { return 0 }
+
+func (r *recorder) Connect(context.Context, rrforward.Target) error { return nil }
+
 func (r *recorder) take() []rrforward.Request {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/app/rrmetrics/traffic.go
+++ b/internal/app/rrmetrics/traffic.go
@@ -40,6 +40,9 @@
 	GroupExtra Group = "extra"
 	// GroupConnections counts connections opened to searchers, by service.
 	GroupConnections Group = "connections"
+	// GroupReady counts connections that were opened before they were needed, by
+	// whether that went well.
+	GroupReady Group = "ready"
 	// GroupStore counts calls to the store by kind and success.
 	GroupStore Group = "store"
 	// GroupPeers counts asks to other daemons by success.
@@ -74,7 +77,7 @@
 		latencies: make(map[Group]map[string]*window),
 	}
 	for _, g := range []Group{
-		GroupRequests, GroupShort, GroupAttempts, GroupExtra, GroupConnections, GroupStore, GroupPeers, GroupEvidence, GroupBeliefs,
+		GroupRequests, GroupShort, GroupAttempts, GroupExtra, GroupConnections, GroupReady, GroupStore, GroupPeers, GroupEvidence, GroupBeliefs,
 		GroupPeerBytes, GroupPeerLinks,
 	} {
 		t.groups[g] = new(expvar.Map)
--- a/internal/app/rrnode/rrnode.go
+++ b/internal/app/rrnode/rrnode.go
@@ -188,6 +188,7 @@
 		return err
 	}
 	group.Go(func() error { n.follower.Run(ctx); return nil })
+	group.Go(func() error { n.places.KeepReady(ctx); return nil })
 	group.Go(func() error { n.watchSettings(ctx); return nil })
 	return nil
 }
--- a/internal/app/rrplaces/place.go
+++ b/internal/app/rrplaces/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -29,11 +30,16 @@
 	// mu guards everything below.
 	mu       sync.Mutex
 	core     *rrdispatch.Shard
-	targets  map[rrunit.SearcherID]rrforward.Target
+	targets  map[rrunit.SearcherID]target
 	jobs     map[rrdispatch.JobID]*job
 	attempts map[rrdispatch.AttemptID]*attempt
 	next     rrdispatch.JobID
 	timer    *time.Timer
+	// opening has the searchers to which a connection is being opened before it is
+	// needed.
+	opening map[rrunit.SearcherID]bool
+	// full has until when searchers are taken to accept no more connections.
+	full map[rrunit.SearcherID]rrunit.Instant
 	// zones has the zone of each searcher.
 	zones map[rrunit.SearcherID]rrunit.Zone
 	// distancesAt is when the core last took the measured distances.
@@ -81,6 +87,8 @@
 		targets:  p.targets(name, c),
 		jobs:     make(map[rrdispatch.JobID]*job),
 		attempts: make(map[rrdispatch.AttemptID]*attempt),
+		opening:  make(map[rrunit.SearcherID]bool),
+		full:     make(map[rrunit.SearcherID]rrunit.Instant),
 	}
 	s.timer = time.AfterFunc(time.Hour, s.tick)
 	p.inherit(s)
@@ -95,6 +103,10 @@
 	}
 	s.step(func(now rrunit.Instant) []rrdispatch.Action {
 		s.targets = s.places.targets(s.name, c)
+		maps.DeleteFunc(s.full, func(id rrunit.SearcherID, _ rrunit.Instant) bool {
+			_, known := s.targets[id]
+			return !known
+		})
 		s.zones = make(map[rrunit.SearcherID]rrunit.Zone)
 		for _, w := range c.Searchers[s.name] {
 			s.zones[processID(&w)] = w.Zone
@@ -115,6 +127,15 @@
 	}
 }
 
+// idle returns how many connections to the searcher are idle.
+func (s *place) idle(id rrunit.SearcherID) int {
+	t, ok := s.targets[id]
+	if !ok {
+		return 0
+	}
+	return s.places.forwarder.Idle(t.Target)
+}
+
 // perform carries out actions and returns the replies, which are to be given
 // without the lock. The caller holds mu.
 func (s *place) perform(actions []rrdispatch.Action) []func() {
@@ -190,7 +211,12 @@
 	s.timer.Reset(max(0, next.Sub(s.places.clock())))
 }
 
-func (s *place) tick() { s.step(s.core.Tick) }
+func (s *place) tick() {
+	s.step(func(now rrunit.Instant) []rrdispatch.Action {
+		s.core.SetIdle(s.idle)
+		return s.core.Tick(now)
+	})
+}
 
 func (s *place) offer(in Job, done func(Result)) CancelFunc {
 	j := &job{Job: in, done: done, offered: s.places.clock()}
@@ -198,6 +224,7 @@
 		s.next++
 		j.id = s.next
 		s.jobs[j.id] = j
+		s.core.SetIdle(s.idle)
 		return s.core.Offer(now, rrdispatch.Job{
 			ID:          j.id,
 			Rank:        j.Rank,
@@ -236,7 +263,7 @@
 	at := &attempt{
 		job:       j,
 		searcher:  a.Searcher,
-		target:    s.targets[a.Searcher],
+		target:    s.targets[a.Searcher].Target,
 		cancel:    cancel,
 		isolation: a.Isolation,
 		place:     len(j.trace),
@@ -245,7 +272,7 @@
 	s.attempts[a.Attempt] = at
 	j.active++
 	id := a.Attempt
-	s.places.running.Go(func() {
+	s.places.workers.run(func() {
 		defer cancel()
 		left := j.Deadline.Sub(s.places.clock())
 		if left <= 0 {
@@ -273,9 +300,17 @@
 		}
 		if took := now.Sub(j.offered) - j.trace[at.place].At; res.Outcome == rrupstream.OutcomeAnswered {
 			s.places.metrics.Time(rrmetrics.GroupAttemptTime, string(s.zones[at.searcher]), took)
-			s.places.distances.Record(now, s.zones[at.searcher], took)
+			s.places.distances.Record(now, s.zones[at.searcher], took, res.Dialled)
+		}
+		s.takeWays(now)
+		s.core.NoteConnection(id, res.Dialled)
+		if res.Dialled && res.Outcome == rrupstream.OutcomeStale {
+			s.noteFull(now, at.searcher)
+		}
+		if res.Outcome != rrupstream.OutcomeAnswered {
+			// The request may be sent elsewhere.
+			s.core.SetIdle(s.idle)
 		}
-		s.takeDistances(now)
 		if res.Load != nil {
 			s.core.NoteLoad(now, at.searcher, res.Load.Running+res.Load.Waiting)
 		}
@@ -285,6 +320,7 @@
 	delete(s.attempts, id)
 	s.mu.Unlock()
 	s.count(at)
+	s.reopen(at.searcher)
 	if at.response.Outcome == rrupstream.OutcomeLost {
 		s.checkCrash(at)
 	}
@@ -313,13 +349,15 @@
 	})
 }
 
-// takeDistances gives the measured distances to the core from time to time.
-func (s *place) takeDistances(now rrunit.Instant) {
+// takeWays gives the measured distances to the core from time to time.
+func (s *place) takeWays(now rrunit.Instant) {
 	if now.Sub(s.distancesAt) < distancesInterval {
 		return
 	}
 	s.distancesAt = now
-	s.core.SetDistances(s.places.distance)
+	s.core.SetWays(func(z rrunit.Zone) (distance, connect rrunit.Duration) {
+		return s.places.distance(z), s.places.connect(z)
+	})
 }
 
 func (s *place) isPossible() bool {
--- a/internal/app/rrplaces/rrplaces.go
+++ b/internal/app/rrplaces/rrplaces.go
@@ -85,7 +85,7 @@
 	works     *rrestimate.Works
 	distances *rrestimate.Distances
 	site      atomic.Pointer[rrsettings.Site]
-	running   sync.WaitGroup
+	workers   *workers
 
 	catalog atomic.Pointer[rrcatalog.Catalog]
 
@@ -109,6 +109,7 @@
 func New(ctx context.Context, site *rrsettings.Site, forwarder rrforward.Forwarder, logger *rrlog.Log, metrics *rrmetrics.Traffic, opts ...Option) *Places {
 	p := &Places{
 		ctx:       ctx,
+		workers:   newWorkers(ctx),
 		clock:     rrunit.SystemClock(),
 		forwarder: forwarder,
 		log:       logger,
@@ -139,18 +140,29 @@
 func (p *Places) Clock() rrunit.Clock { return p.clock }
 
 // Go runs f beside the caller; Wait waits for it.
-func (p *Places) Go(f func()) { p.running.Go(f) }
+func (p *Places) Go(f func()) { p.workers.run(f) }
 
-// Wait returns when all attempts have ended.
-func (p *Places) Wait() { p.running.Wait() }
+// Wait returns when all attempts have ended, once the context of New has.
+func (p *Places) Wait() { p.workers.wait() }
 
 // Update takes what is known of the platform now.
 func (p *Places) Update(c *rrcatalog.Catalog) {
 	p.catalog.Store(c)
+	if c.Table != nil {
+		c.Table.Shards(func(name rrunit.ServiceName) { p.place(name) })
+	}
+	p.each(func(s *place) {
+		s.update(c)
+		s.openAll()
+	})
+}
+
+// each calls f with the dispatcher of each service.
+func (p *Places) each(f func(*place)) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	for _, s := range p.places {
-		s.update(c)
+		f(s)
 	}
 }
 
@@ -246,6 +258,15 @@
 	}
 }
 
+// connect returns how much longer an attempt in the zone takes on a new connection:
+// another round trip until it was measured.
+func (p *Places) connect(zone rrunit.Zone) rrunit.Duration {
+	if d, ok := p.distances.Connect(zone); ok {
+		return rrunit.Duration(d)
+	}
+	return p.distance(zone)
+}
+
 // processID names one process of a searcher, since another that starts under the
 // same id knows nothing of what the first was asked.
 func processID(w *rrcatalog.Searcher) rrunit.SearcherID {
@@ -292,6 +313,7 @@
 			Zone:     w.Zone,
 			Slots:    w.Slots,
 			Distance: p.distance(w.Zone),
+			Connect:  p.connect(w.Zone),
 			Cold:     w.Cold,
 		})
 	}
--- a/internal/bench/rrshared/bounds_test.go
+++ b/internal/bench/rrshared/bounds_test.go
@@ -41,11 +41,28 @@
 }
 
 func TestCalm(t *testing.T) {
-	for name, shape := range map[string]rrshared.Shape{"selka": rrshared.Selka(), "paddle": rrshared.Paddle(), "grown": rrshared.Grown()} {
+	for name, shape := range map[string]rrshared.Shape{"selka": rrshared.Selka(), "paddle": rrshared.Paddle(), "grown": rrshared.Grown(), "grownpaddle": rrshared.GrownPaddle()} {
 		t.Run(name, func(t *testing.T) { must.GreaterEq(t, calmCredit, mean(t, options(shape))) })
 	}
 }
 
+// mostOpened is the share of attempts that may wait for a new connection in calm, second
+// attempts left out.
+const mostOpened = 0.03
+
+// First attempts find their connections open, also where a searcher accepts no more than
+// one of each daemon.
+func TestConnectionsAreReady(t *testing.T) {
+	for name, shape := range map[string]rrshared.Shape{"paddle": rrshared.Paddle(), "grown": rrshared.Grown(), "grownpaddle": rrshared.GrownPaddle()} {
+		t.Run(name, func(t *testing.T) {
+			o := options(shape)
+			o.Seed = 11
+			r := rrshared.Run(o)
+			must.LessEq(t, mostOpened, float64(r.Opened-r.Extra)/float64(r.First), must.Sprint(r))
+		})
+	}
+}
+
 // A quarter of all searchers turn slow for eight seconds.
 func TestSlowSearchers(t *testing.T) {
 	slow := func(x, share float64) rrshared.Trouble {
--- a/internal/bench/rrshared/daemon.go
+++ b/internal/bench/rrshared/daemon.go
@@ -36,6 +36,8 @@
 	jobs   map[rrdispatch.JobID]*job
 	// attempts has what is under way.
 	attempts map[rrdispatch.AttemptID]*attempt
+	// links has the connections to each searcher.
+	links map[rrunit.SearcherID]*links
 	// wake is when the next tick is planned.
 	wake rrunit.Instant
 	// measured is when the core last took the distances.
@@ -52,6 +54,8 @@
 	searcher *searcher
 	work     *work
 	ended    bool
+	// opened says that a connection was opened for it.
+	opened bool
 }
 
 func newDaemon(s *sim, region int) *daemon {
@@ -67,6 +71,7 @@
 			daemon: d, place: i, core: rrdispatch.New(d.config(i)),
 			jobs: make(map[rrdispatch.JobID]*job), attempts: make(map[rrdispatch.AttemptID]*attempt),
 		}
+		sh.links = sh.newLinks(d.sim.Shape)
 		d.shards = append(d.shards, sh)
 	}
 	return d
@@ -86,7 +91,8 @@
 	}
 	for region := range s.Shape.Regions {
 		cfg.Searchers = append(cfg.Searchers, rrdispatch.Searcher{
-			ID: searcherID(place, region), Zone: zone(region), Slots: s.Shape.Slots, Distance: d.distance(zone(region)),
+			ID: searcherID(place, region), Zone: zone(region), Slots: s.Shape.Slots,
+			Distance: d.distance(zone(region)), Connect: d.connect(zone(region)),
 		})
 	}
 	return cfg
@@ -104,6 +110,15 @@
 	return firstFar
 }
 
+// connect returns how much longer an attempt takes on a new connection: another round
+// trip until it was measured.
+func (d *daemon) connect(z rrunit.Zone) rrunit.Duration {
+	if measured, ok := d.distances.Connect(z); ok {
+		return rrunit.Duration(measured)
+	}
+	return d.distance(z)
+}
+
 // targetMargin and deadlineMargin are kept free as the daemons do.
 const (
 	targetMargin   = 8
@@ -181,6 +196,7 @@
 	if s.daemon.sim.NoTarget {
 		target = 0
 	}
+	s.core.SetIdle(s.idle)
 	s.perform(s.core.Offer(now, rrdispatch.Job{
 		ID: id, Rank: c.Rank, Fingerprint: rrunit.Fingerprint(s.daemon.rng.Uint64()), Idempotent: true, Attempts: 2,
 		Target: target, Lot: lot, Deadline: deadline,
@@ -188,6 +204,7 @@
 	return func() {
 		if s.jobs[id] != nil {
 			delete(s.jobs, id)
+			s.core.SetIdle(s.idle)
 			s.perform(s.core.Cancel(s.daemon.sim.loop.Now(), id))
 		}
 	}
@@ -220,6 +237,7 @@
 	s.daemon.sim.loop.At(at, func() {
 		if s.wake == at {
 			s.wake = 0
+			s.core.SetIdle(s.idle)
 			s.perform(s.core.Tick(at))
 		}
 	})
@@ -241,18 +259,22 @@
 			sim.arrivals[s.place][n].extra++
 		}
 	}
-	trip := sim.Shape.Near
+	trip := s.daemon.trip(w.region)
 	if w.region != s.daemon.region {
-		trip = sim.Shape.Far
 		sim.far++
 	}
 	sent := sim.loop.Now()
-	at := &attempt{searcher: w}
+	at := &attempt{searcher: w, opened: !s.links[w.id].take(sent)}
+	way := trip / 2
+	if at.opened {
+		way += trip + sim.Shape.Handshake
+		sim.opened++
+	}
 	s.attempts[a.Attempt] = at
 	at.work = &work{class: j.class, cost: sim.Shape.Classes[j.class].Work, reply: func(o rrupstream.Outcome, load int) {
 		sim.loop.After(trip/2, func() { s.finish(a.Attempt, sent, o, load) })
 	}}
-	sim.loop.After(trip/2, func() {
+	sim.loop.After(way, func() {
 		if !at.work.ended {
 			w.take(at.work)
 		}
@@ -268,12 +290,17 @@
 	delete(s.attempts, id)
 	now := s.daemon.sim.loop.Now()
 	if o == rrupstream.OutcomeAnswered {
-		s.daemon.distances.Record(now, zone(at.searcher.region), now.Sub(sent))
+		s.daemon.distances.Record(now, zone(at.searcher.region), now.Sub(sent), at.opened)
 	}
 	if now.Sub(s.measured) >= distancesInterval {
 		s.measured = now
-		s.core.SetDistances(s.daemon.distance)
+		s.core.SetWays(func(z rrunit.Zone) (rrunit.Duration, rrunit.Duration) {
+			return s.daemon.distance(z), s.daemon.connect(z)
+		})
 	}
+	s.release(now, at.searcher, o)
+	s.core.SetIdle(s.idle)
+	s.core.NoteConnection(id, at.opened)
 	if o == rrupstream.OutcomeAnswered || o == rrupstream.OutcomeShed {
 		s.core.NoteLoad(now, at.searcher.id, load)
 	}
@@ -296,11 +323,7 @@
 		if at.ended {
 			return
 		}
-		trip := sim.Shape.Near
-		if at.searcher.region != s.daemon.region {
-			trip = sim.Shape.Far
-		}
-		sim.loop.After(trip/2, func() { at.searcher.drop(at.work) })
+		sim.loop.After(s.daemon.trip(at.searcher.region)/2, func() { at.searcher.drop(at.work) })
 		s.finish(a.Attempt, 0, rrupstream.OutcomeCancelled, 0)
 	}
 	if a.Linger {
--- a/internal/bench/rrshared/rrshared.go
+++ b/internal/bench/rrshared/rrshared.go
@@ -36,9 +36,13 @@
 	Shards  int
 	// Slots and Queue are those of one searcher; there is one a shard and region.
 	Slots, Queue int
-	Speeds       []float64
+	// Connections is how many a searcher accepts.
+	Connections int
+	Speeds      []float64
 	// Near and Far are the round trips within a region and between two.
 	Near, Far time.Duration
+	// Handshake is how long a searcher takes to accept a connection.
+	Handshake time.Duration
 	// Pause is how long a searcher stands still once every PauseEvery.
 	Pause, PauseEvery time.Duration
 	Classes           []Class
@@ -51,7 +55,7 @@
 func Selka() Shape {
 	return Shape{
 		Regions: 3, Daemons: 2, Shards: 10, Slots: 3, Queue: 18, Speeds: []float64{0.8, 1, 1.3},
-		Near: 400 * time.Microsecond, Far: 40 * time.Millisecond,
+		Near: 400 * time.Microsecond, Far: 40 * time.Millisecond, Handshake: 6 * time.Millisecond, Connections: 30,
 		Pause: 250 * time.Millisecond, PauseEvery: 6 * time.Second,
 		Extra: 0.2, Slack: 52,
 		Classes: []Class{
@@ -70,7 +74,7 @@
 // Paddle is a deployment of the second user's size.
 func Paddle() Shape {
 	s := Selka()
-	s.Daemons, s.Slots, s.Queue, s.Far = 3, 2, 12, 16*time.Millisecond
+	s.Daemons, s.Slots, s.Queue, s.Far, s.Connections = 3, 2, 12, 16*time.Millisecond, 26
 	s.Pause, s.PauseEvery, s.Slack = 150*time.Millisecond, 3600*time.Millisecond, 58
 	s.Classes = []Class{
 		{
@@ -85,10 +89,21 @@
 	return s
 }
 
+// GrownPaddle is a deployment of the second user's size after it has grown.
+func GrownPaddle() Shape {
+	s := Paddle()
+	s.Daemons, s.Shards, s.Slots, s.Slack, s.Connections = 21, 36, 4, 168, 64
+	for i := range s.Classes {
+		s.Classes[i].PerSecond /= 1.6
+	}
+	s.Classes[0].Coverage, s.Classes[1].Coverage = 0.95, 0.85
+	return s
+}
+
 // Grown is a deployment of the first user's size after it has grown.
 func Grown() Shape {
 	s := Selka()
-	s.Daemons, s.Shards, s.Slots = 24, 36, 4
+	s.Daemons, s.Shards, s.Slots, s.Connections = 24, 36, 4, 68
 	s.Pause, s.PauseEvery, s.Slack = 250*time.Millisecond, 6*time.Second, 186
 	for i := range s.Classes {
 		s.Classes[i].PerSecond /= 1.96
@@ -141,13 +156,15 @@
 	// First and Extra count the requests that reached searchers; Far those of
 	// other regions.
 	First, Extra, Far int
+	// Opened counts the attempts that had to open a connection.
+	Opened int
 	// MostExtra is the most extra requests at one shard in ten seconds, and
 	// Allowed what the bound was there.
 	MostExtra, Allowed float64
 }
 
 func (r *Result) String() string {
-	out := fmt.Sprintf("credit %.4f extra %.3f far %.3f", r.Credit, float64(r.Extra)/float64(r.First), float64(r.Far)/float64(r.First))
+	out := fmt.Sprintf("credit %.4f extra %.3f far %.3f opened %.3f", r.Credit, float64(r.Extra)/float64(r.First), float64(r.Far)/float64(r.First), float64(r.Opened)/float64(r.First))
 	for _, c := range r.Classes {
 		out += fmt.Sprintf(" [credit %.4f of %d: whole %d late %d failed %d]", c.Credit, c.Asked, c.Whole, c.Late, c.Failed)
 	}
@@ -183,6 +200,7 @@
 	first     int
 	extra     int
 	far       int
+	opened    int
 	// arrivals has the first and the extra requests of each shard by second.
 	arrivals [][]arrivals
 }
@@ -302,7 +320,7 @@
 const clientTrip = 4 * time.Millisecond
 
 func (s *sim) result() *Result {
-	r := &Result{Classes: s.classes, Credit: s.earned / s.owed, First: s.first, Extra: s.extra, Far: s.far}
+	r := &Result{Classes: s.classes, Credit: s.earned / s.owed, First: s.first, Extra: s.extra, Far: s.far, Opened: s.opened}
 	for i := range r.Classes {
 		c := &r.Classes[i]
 		c.Credit /= float64(c.Asked) * s.Shape.Classes[i].Worth
--- a/internal/domain/rrroute/rrroute.go
+++ b/internal/domain/rrroute/rrroute.go
@@ -98,6 +98,8 @@
 	// byHost has the routes of each host, the longest prefix first.
 	byHost   map[string][]*Route
 	services map[rrunit.ServiceName]*Service
+	// shards has the services that are shards of a route.
+	shards map[rrunit.ServiceName]bool
 }
 
 // Build checks the table and makes it usable.
@@ -106,9 +108,13 @@
 		return err
 	}
 	t.byHost = make(map[string][]*Route)
+	t.shards = make(map[rrunit.ServiceName]bool)
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		for _, name := range r.Shards {
+			t.shards[name] = true
+		}
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -145,6 +151,16 @@
 // Service returns the service of that name, or nil.
 func (t *Table) Service(name rrunit.ServiceName) *Service { return t.services[name] }
 
+// IsShard reports whether the service is a shard of any route.
+func (t *Table) IsShard(name rrunit.ServiceName) bool { return t.shards[name] }
+
+// Shards calls f with each service that is a shard of any route.
+func (t *Table) Shards(f func(rrunit.ServiceName)) {
+	for name := range t.shards {
+		f(name)
+	}
+}
+
 // Ranks returns how many ranks the table uses: one more than the least urgent.
 func (t *Table) Ranks() int {
 	n := 1
--- a/internal/policy/rrdispatch/job.go
+++ b/internal/policy/rrdispatch/job.go
@@ -43,6 +43,8 @@
 	sent int
 	// spent counts the attempts that ran or may have, for the bound of the job.
 	spent int
+	// stale counts the attempts whose connection ended at once.
+	stale int
 	// running has the attempts under way that were not cancelled.
 	running []*attempt
 	// run is RunNot while every attempt that ended says it did not run.
@@ -79,6 +81,8 @@
 	version     rrunit.IndexVersion
 	fingerprint rrunit.Fingerprint
 	started     rrunit.Instant
+	// connect is how much longer it takes for a new connection; zero on a kept one.
+	connect rrunit.Duration
 	// suspect says that the job was suspect at the send, and alone that
 	// nothing else ran at the searcher, which was up.
 	suspect bool
@@ -170,7 +174,7 @@
 	}
 	j.Job = in
 	j.arrived = now
-	j.tried, j.round, j.sent, j.spent = 0, 0, 0, 0
+	j.tried, j.round, j.sent, j.spent, j.stale = 0, 0, 0, 0, 0
 	j.run, j.last = rrpeer.RunNot, ""
 	j.leaveAt, j.hedgeAt, j.demoteAt = in.Deadline, 0, 0
 	j.late, j.behind, j.extended = false, false, false
--- a/internal/policy/rrdispatch/learn.go
+++ b/internal/policy/rrdispatch/learn.go
@@ -106,7 +106,7 @@
 	s.ranks[s.rankOf(a.rank)].recent.Record(now, now.Sub(a.started))
 	if s.isShared() {
 		w := a.searcher
-		w.pace.Slow(now, a.started, now.Sub(a.started)-w.Distance.Std(), s.cfg.Works.Usual(s.rankOf(a.rank)))
+		w.pace.Slow(now, a.started, a.work(now), s.cfg.Works.Usual(s.rankOf(a.rank)))
 		return
 	}
 	s.strike(now, a.searcher)
--- a/internal/policy/rrdispatch/rrdispatch.go
+++ b/internal/policy/rrdispatch/rrdispatch.go
@@ -35,6 +35,8 @@
 	// Distance is how much of a latency is the way there and back; zero where
 	// that is not known.
 	Distance rrunit.Duration
+	// Connect is how much longer an attempt takes on a new connection.
+	Connect rrunit.Duration
 	// Cold is how much longer it stays slow after its start.
 	Cold rrunit.Duration
 }
--- a/internal/policy/rrdispatch/searcher.go
+++ b/internal/policy/rrdispatch/searcher.go
@@ -131,6 +131,9 @@
 	latency   float64
 	latencyAt rrunit.Instant
 
+	// idle is how many connections to it are open and idle, less those that attempts
+	// have taken since.
+	idle int
 	// pace is what is known of it where others send to it too.
 	pace rrestimate.Pace
 
@@ -141,6 +144,14 @@
 // closed reports whether the searcher gets no new work at all.
 func (w *searcher) closed() bool { return w.draining || w.refused || w.leaving }
 
+// connect is how much longer one more attempt takes for its connection.
+func (w *searcher) connect() rrunit.Duration {
+	if w.idle > 0 {
+		return 0
+	}
+	return w.Connect
+}
+
 func (w *searcher) belief() Belief {
 	switch {
 	case w.closed():
--- a/internal/policy/rrdispatch/settle.go
+++ b/internal/policy/rrdispatch/settle.go
@@ -15,6 +15,10 @@
 // them all.
 const maxRounds = 2
 
+// maxStale is how many connections may end at once under a job before that counts as
+// an attempt: one to each searcher of a shard, twice.
+const maxStale = 6
+
 // settle decides what the end of its attempt means for the job.
 func (s *Shard) settle(now rrunit.Instant, a *attempt, outcome rrupstream.Outcome) {
 	j := a.job
@@ -23,9 +27,13 @@
 		s.answer(now, j, a)
 		return
 	}
-	if outcome.NotRun() {
+	if outcome == rrupstream.OutcomeStale {
+		j.stale++
+	}
+	if outcome.NotRun() || s.isUnread(j, outcome) {
 		j.spent--
-	} else {
+	}
+	if !outcome.NotRun() {
 		j.run = rrpeer.RunMaybe
 	}
 	j.last = outcome
@@ -93,7 +101,7 @@
 	case outcome == rrupstream.OutcomeUnsent || outcome.NotRun() && !s.cfg.CountRefused:
 		return true
 	case s.isShared():
-		return s.budget.Spend(0)
+		return s.isUnread(j, outcome) || s.budget.Spend(0)
 	}
 	switch outcome {
 	case rrupstream.OutcomeLost, rrupstream.OutcomeStale, rrupstream.OutcomeSilent, rrupstream.OutcomeSnapshot:
@@ -106,6 +114,13 @@
 	}
 }
 
+// isUnread reports whether the connection ended before the searcher can have read the
+// request, which costs it no work: it accepts no more connections, as just after many
+// daemons have lost power, or has closed an idle one.
+func (s *Shard) isUnread(j *job, outcome rrupstream.Outcome) bool {
+	return s.isShared() && outcome == rrupstream.OutcomeStale && j.stale <= maxStale
+}
+
 // nextRound lets a job ask all searchers once more that turned it away as busy.
 func (s *Shard) nextRound(now rrunit.Instant, j *job) bool {
 	if j.last != rrupstream.OutcomeShed || j.run != rrpeer.RunNot || j.round+1 >= maxRounds {
--- a/internal/policy/rrdispatch/shard.go
+++ b/internal/policy/rrdispatch/shard.go
@@ -151,10 +151,30 @@
 	return s.end(now)
 }
 
-// SetDistances takes the round trips to the searchers' zones.
-func (s *Shard) SetDistances(of func(rrunit.Zone) rrunit.Duration) {
+// SetWays takes the round trips to the searchers' zones, and how much longer an
+// attempt there takes on a new connection.
+func (s *Shard) SetWays(of func(rrunit.Zone) (distance, connect rrunit.Duration)) {
 	for _, w := range s.searchers {
-		w.Distance = of(w.Zone)
+		w.Distance, w.Connect = of(w.Zone)
+	}
+}
+
+// SetIdle takes how many connections to each searcher are open and idle.
+func (s *Shard) SetIdle(of func(rrunit.SearcherID) int) {
+	for _, w := range s.searchers {
+		w.idle = of(w.ID)
+	}
+}
+
+// NoteConnection takes whether a new connection was opened for the attempt.
+func (s *Shard) NoteConnection(id AttemptID, opened bool) {
+	a := s.attempts[id]
+	if a == nil {
+		return
+	}
+	a.connect = 0
+	if opened {
+		a.connect = a.searcher.Connect
 	}
 }
 
--- a/internal/policy/rrdispatch/shared.go
+++ b/internal/policy/rrdispatch/shared.go
@@ -26,7 +26,7 @@
 	}
 	return rrestimate.Request{
 		Oldest:   oldest,
-		Distance: w.Distance.Std(),
+		Distance: (w.Distance + w.connect()).Std(),
 		Usual:    s.cfg.Works.Usual(rank),
 		Busy:     len(w.running),
 		Slots:    w.Slots,
@@ -46,13 +46,18 @@
 	return leastMissCost + time.Duration(spent*spent*float64(mostMissCost-leastMissCost))
 }
 
+// work returns how long the attempt has taken beyond its way.
+func (a *attempt) work(now rrunit.Instant) time.Duration {
+	return now.Sub(a.started) - (a.searcher.Distance + a.connect).Std()
+}
+
 // learnPace takes what an answer tells of its searcher and of its rank's work.
 func (s *Shard) learnPace(now rrunit.Instant, a *attempt) {
 	if !s.isShared() {
 		return
 	}
 	rank, w := s.rankOf(a.rank), a.searcher
-	if work, ok := w.pace.Answered(now, a.started, now.Sub(a.started)-w.Distance.Std(), s.cfg.Works.Usual(rank)); ok {
+	if work, ok := w.pace.Answered(now, a.started, a.work(now), s.cfg.Works.Usual(rank)); ok {
 		s.cfg.Works.Record(now, rank, work)
 	}
 }
@@ -75,8 +80,10 @@
 	if !s.isShared() {
 		return s.ranks[j.Rank].hedgeDelay(s.tuning)
 	}
-	w := j.running[0].searcher
+	a := j.running[0]
+	w := a.searcher
 	r := s.request(j.Rank, w)
+	r.Distance = (w.Distance + a.connect).Std()
 	patience := w.pace.Patience(now, r, s.cfg.Works.Tail(j.Rank))
 	if latest, ok := s.latestHedge(now, j); ok {
 		patience = min(patience, latest.Sub(now))
@@ -85,12 +92,13 @@
 }
 
 // latestHedge returns when a second attempt is started at the latest so that it
-// makes the target, and false if there is no target or nobody to ask.
+// makes the target over an open connection, and false if there is no target or nobody
+// to ask. Leaving time to open one would start many that are not needed.
 func (s *Shard) latestHedge(now rrunit.Instant, j *job) (rrunit.Instant, bool) {
 	if j.Target == 0 {
 		return 0, false
 	}
-	best, ok := s.soonest(now, j)
+	best, ok := s.soonest(now, j, true)
 	if !ok {
 		return 0, false
 	}
@@ -145,16 +153,20 @@
 	return false
 }
 
-// soonest returns the least estimate of the searchers that the job was not sent
-// to.
-func (s *Shard) soonest(now rrunit.Instant, j *job) (time.Duration, bool) {
+// soonest returns the least estimate of the searchers that the job was not sent to.
+// connected takes connections to all of them to be open.
+func (s *Shard) soonest(now rrunit.Instant, j *job, connected bool) (time.Duration, bool) {
 	var best time.Duration
 	found := false
 	for _, w := range s.searchers {
 		if j.tried&w.bit != 0 || w.closed() || w.health != healthUp {
 			continue
 		}
-		if e := w.pace.Estimate(now, s.request(j.Rank, w)); !found || e < best {
+		r := s.request(j.Rank, w)
+		if connected {
+			r.Distance = w.Distance.Std()
+		}
+		if e := w.pace.Estimate(now, r); !found || e < best {
 			best, found = e, true
 		}
 	}
@@ -195,7 +207,7 @@
 	if !s.isShared() || j.Target == 0 {
 		return
 	}
-	best, ok := s.soonest(now, j)
+	best, ok := s.soonest(now, j, false)
 	if !ok {
 		best = 0
 	}
--- a/internal/policy/rrdispatch/stale_test.go
+++ b/internal/policy/rrdispatch/stale_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"rhubarbreel.example/rhubarbreel/internal/domain/rrpeer"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrdispatch"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrestimate"
@@ -99,3 +100,41 @@
 	_, answered, _ := resets(2)
 	must.Greater(t, 10, answered)
 }
+
+// A searcher that accepts no more connections costs neither the budget nor one of the
+// attempts that the route allows: the request goes on to others, and back to it.
+func TestFullSearchersCostNoBudget(t *testing.T) {
+	s := shared()
+	now := rrunit.Instant(time.Second)
+	for id := range rrdispatch.JobID(40) {
+		actions := s.Offer(now, rrdispatch.Job{ID: id + 1, Idempotent: true, Attempts: 2, Deadline: now.Add(time.Second)})
+		for _, outcome := range []rrupstream.Outcome{"stale", "stale", "stale", "answered"} {
+			for range 100 {
+				if len(actions) > 0 {
+					break
+				}
+				now = now.Add(time.Millisecond)
+				actions = s.Tick(now)
+			}
+			must.SliceLen(t, 1, actions)
+			must.Eq(t, rrdispatch.ActionSend, actions[0].Kind, must.Sprintf("job %d is given up as %s", id, actions[0].Reason))
+			now = now.Add(time.Millisecond)
+			actions = s.Finish(now, actions[0].Attempt, outcome)
+		}
+		must.SliceLen(t, 1, actions)
+		must.Eq(t, rrpeer.RunDone, actions[0].Run)
+		now = now.Add(2 * time.Second)
+	}
+}
+
+// A request that must not run twice is not sent again: the searcher may have read it.
+func TestFullSearcherEndsWhatMustNotRunTwice(t *testing.T) {
+	s := shared()
+	now := rrunit.Instant(time.Second)
+	actions := s.Offer(now, rrdispatch.Job{ID: 1, Attempts: 2, Deadline: now.Add(time.Second)})
+	must.SliceLen(t, 1, actions)
+	actions = s.Finish(now.Add(time.Millisecond), actions[0].Attempt, rrupstream.OutcomeStale)
+	must.SliceLen(t, 1, actions)
+	must.Eq(t, rrdispatch.ActionReply, actions[0].Kind)
+	must.Eq(t, rrpeer.RunMaybe, actions[0].Run)
+}
--- a/internal/policy/rrdispatch/start.go
+++ b/internal/policy/rrdispatch/start.go
@@ -92,9 +92,11 @@
 		version:     j.Version,
 		fingerprint: j.Fingerprint,
 		started:     now,
+		connect:     w.connect(),
 		suspect:     suspect,
 		alone:       alone,
 	}
+	w.idle = max(0, w.idle-1)
 	s.attempts[a.id] = a
 	w.running = append(w.running, a)
 	w.alone = suspect
--- a/internal/policy/rrestimate/distance.go
+++ b/internal/policy/rrestimate/distance.go
@@ -10,12 +10,14 @@
 // distanceAge is how long a measured round trip counts at least.
 const distanceAge = 10 * time.Second
 
-// Distances has the round trip to each availability zone: the shortest time in
-// which anything there was answered of late. It is safe for concurrent use.
+// Distances has the round trip to each availability zone, and how much longer a
+// request takes there on a new connection: the shortest times in which anything was
+// answered of late. It is safe for concurrent use.
 type Distances struct {
-	// mu guards zones.
-	mu    sync.Mutex
-	zones map[rrunit.Zone]*shortest
+	// mu guards the maps. kept has the times on kept connections, and opened those on
+	// connections that were opened for the request.
+	mu           sync.Mutex
+	kept, opened map[rrunit.Zone]*shortest
 }
 
 // shortest is the least of the samples of the present and the last window.
@@ -25,17 +27,28 @@
 }
 
 // NewDistances returns distances of which nothing is known.
-func NewDistances() *Distances { return &Distances{zones: make(map[rrunit.Zone]*shortest)} }
+func NewDistances() *Distances {
+	return &Distances{kept: make(map[rrunit.Zone]*shortest), opened: make(map[rrunit.Zone]*shortest)}
+}
 
-// Record takes how long something in the zone took to be answered.
-func (d *Distances) Record(now rrunit.Instant, zone rrunit.Zone, took time.Duration) {
+// Record takes how long something in the zone took to be answered, and whether a
+// connection was opened for it.
+func (d *Distances) Record(now rrunit.Instant, zone rrunit.Zone, took time.Duration, opened bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := d.zones[zone]
+	zones := d.kept
+	if opened {
+		zones = d.opened
+	}
+	s := zones[zone]
 	if s == nil {
 		s = &shortest{since: now}
-		d.zones[zone] = s
+		zones[zone] = s
 	}
+	s.record(now, took)
+}
+
+func (s *shortest) record(now rrunit.Instant, took time.Duration) {
 	if now.Sub(s.since) >= distanceAge && s.present > 0 {
 		s.since, s.last, s.present = now, s.present, 0
 	}
@@ -44,11 +57,8 @@
 	}
 }
 
-// Of returns the round trip to the zone, and false if it was never measured.
-func (d *Distances) Of(zone rrunit.Zone) (time.Duration, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	s := d.zones[zone]
+// value returns the shortest time, and false if there is none.
+func (s *shortest) value() (time.Duration, bool) {
 	switch {
 	case s == nil:
 		return 0, false
@@ -58,3 +68,26 @@
 		return s.present, true
 	}
 }
+
+// Of returns the round trip to the zone, and false if it was never measured.
+func (d *Distances) Of(zone rrunit.Zone) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if kept, ok := d.kept[zone].value(); ok {
+		return kept, true
+	}
+	return d.opened[zone].value()
+}
+
+// Connect returns how much longer a request in the zone takes on a new connection,
+// and false if it was never measured.
+func (d *Distances) Connect(zone rrunit.Zone) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	kept, ok := d.kept[zone].value()
+	if !ok {
+		return 0, false
+	}
+	opened, ok := d.opened[zone].value()
+	return max(0, opened-kept), ok
+}
--- a/internal/policy/rrestimate/rrestimate_test.go
+++ b/internal/policy/rrestimate/rrestimate_test.go
@@ -104,13 +104,13 @@
 	_, ok := d.Of("z")
 	must.False(t, ok)
 	for _, ms := range []int{50, 41, 60} {
-		d.Record(at(time.Second), "z", time.Duration(ms)*time.Millisecond)
+		d.Record(at(time.Second), "z", time.Duration(ms)*time.Millisecond, false)
 	}
 	got, ok := d.Of("z")
 	must.True(t, ok)
 	must.Eq(t, 41*time.Millisecond, got)
 	for s := range 30 {
-		d.Record(at(time.Duration(20+s)*time.Second), "z", 70*time.Millisecond)
+		d.Record(at(time.Duration(20+s)*time.Second), "z", 70*time.Millisecond, false)
 	}
 	got, _ = d.Of("z")
 	must.Eq(t, 70*time.Millisecond, got, must.Sprint("a shorter way of long ago does not count"))
@@ -127,3 +127,20 @@
 	must.Between(t, 18*time.Millisecond, w.Tail(1), 21*time.Millisecond)
 	must.Eq(t, first, w.Usual(0))
 }
+
+// What a new connection costs is told apart from the way.
+func TestConnect(t *testing.T) {
+	d := rrestimate.NewDistances()
+	d.Record(at(time.Second), "z", 60*time.Millisecond, true)
+	got, ok := d.Of("z")
+	must.True(t, ok)
+	must.Eq(t, 60*time.Millisecond, got, must.Sprint("nothing better is known"))
+	_, ok = d.Connect("z")
+	must.False(t, ok)
+	d.Record(at(2*time.Second), "z", 38*time.Millisecond, false)
+	got, _ = d.Of("z")
+	must.Eq(t, 38*time.Millisecond, got)
+	cost, ok := d.Connect("z")
+	must.True(t, ok)
+	must.Eq(t, 22*time.Millisecond, cost)
+}
--- a/internal/port/rrforward/rrforward.go
+++ b/internal/port/rrforward/rrforward.go
@@ -3,6 +3,7 @@
 package rrforward
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/netip"
@@ -20,7 +21,7 @@
 	URI  string
 	Host string
 	// Header has the end-to-end fields only.
-	Header http.Header
+	Header Header
 	Body   []byte
 	// ID is the caller's id of the request.
 	ID rrunit.RequestID
@@ -28,6 +29,17 @@
 	Idempotent bool
 }
 
+// Header has fields as they are written, encoded once for all searchers.
+type Header []byte
+
+// EncodeHeader encodes the fields.
+func EncodeHeader(h http.Header) Header {
+	var b bytes.Buffer
+	// Writing to a buffer cannot fail.
+	_ = h.Write(&b)
+	return b.Bytes()
+}
+
 // Target is one searcher and the process that it is believed to be.
 type Target struct {
 	ID      rrunit.SearcherID
@@ -70,6 +82,10 @@
 	// IsDead reports whether the searcher's process is gone: none of the kept
 	// connections is open, and a new one is refused.
 	IsDead(ctx context.Context, to Target) bool
+	// Idle returns how many connections to the searcher are open and idle.
+	Idle(to Target) int
+	// Connect opens a connection to the searcher, to be kept idle, if there is none.
+	Connect(ctx context.Context, to Target) error
 }
 
 // Fields are the names of the header fields in which callers, the system and
--- a/internal/test/rrplatform/path_test.go
+++ b/internal/test/rrplatform/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"rhubarbreel.example/rhubarbreel/internal/app/rrnode"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrgather"
 	"rhubarbreel.example/rhubarbreel/platform/standin"
 )
@@ -319,3 +321,34 @@
 	must.Between(t, 0.18, got, 0.32)
 	must.False(t, slices.ContainsFunc(f.of("s0"), func(s *standin.Searcher) bool { return s.Arrived() > 0 }))
 }
+
+// Connections to the searchers of shards are open before the first request, and are
+// replaced when an attempt that was given up ends one.
+func TestConnectionsAreReady(t *testing.T) {
+	f := newFleet(t)
+	d := f.start("d1", "a")
+	f.eventually("connections are open", func() bool { return d.metric(t, "ready")["opened"] >= 2*shards })
+	must.Eq(t, http.StatusOK, d.get("/all/1").status)
+	must.MapEmpty(t, d.metric(t, "connections"), must.Sprint("attempts that had to connect"))
+	opened := d.metric(t, "ready")["opened"]
+	for _, s := range f.of("s1") {
+		s.SetWork(3 * time.Second)
+	}
+	must.Eq(t, "1", d.get("/all/2").header.Get("X-Missing-Parts"))
+	f.eventually("another is open", func() bool { return d.metric(t, "ready")["opened"] > opened })
+}
+
+// metric returns a group of the daemon's counters.
+func (d *daemon) metric(t *testing.T, group string) map[string]int {
+	t.Helper()
+	res, err := http.Get("http://" + d.site.Metrics.String() + rrnode.MetricsPath)
+	must.NoError(t, err)
+	defer func() { must.NoError(t, res.Body.Close()) }()
+	var all struct {
+		Daemon map[string]json.RawMessage `json:"rhubarbreel"`
+	}
+	must.NoError(t, json.NewDecoder(res.Body).Decode(&all))
+	var out map[string]int
+	must.NoError(t, json.Unmarshal(all.Daemon[group], &out))
+	return out
+}
