Free of cost are only resets of new connections

While answers are lost by resets, a kept connection ends sooner than any answer came, though the searcher has begun to work; such resets cost nothing there.

TestEndedConnectionsCostTheBudget failed before.

--- a/internal/adapter/rrconn/pool.go
+++ b/internal/adapter/rrconn/pool.go
@@ -19,10 +19,6 @@
 	idleMargin = 500 * time.Millisecond
 )
 
-// acceptSpread is by how much the time varies in which a busy searcher accepts or resets
-// a connection. Few answers to requests on new connections come that soon.
-const acceptSpread = 10 * time.Millisecond
-
 // leastAnswer is the least time that a searcher works on a request.
 const leastAnswer = time.Millisecond
 
--- a/internal/adapter/rrconn/rrconn.go
+++ b/internal/adapter/rrconn/rrconn.go
@@ -164,7 +164,7 @@
 	if k.used {
 		return max(shortest, leastAnswer)
 	}
-	return max(shortest, k.opened+max(leastAnswer, time.Duration(c.accepting.Load()))+acceptSpread)
+	return max(shortest, k.opened+max(leastAnswer, time.Duration(c.accepting.Load())))
 }
 
 // Retain closes the idle connections to all searchers that keep does not name.
--- a/internal/policy/rrdispatch/job.go
+++ b/internal/policy/rrdispatch/job.go
@@ -43,8 +43,8 @@
 	sent int
 	// spent counts the attempts that ran or may have, for the bound of the job.
 	spent int
-	// stale counts the attempts whose connection ended at once.
-	stale int
+	// unread counts the attempts whose new connection was reset at once.
+	unread int
 	// running has the attempts under way that were not cancelled.
 	running []*attempt
 	// run is RunNot while every attempt that ended says it did not run.
@@ -81,7 +81,9 @@
 	version     rrunit.IndexVersion
 	fingerprint rrunit.Fingerprint
 	started     rrunit.Instant
-	// connect is how much longer it takes for a new connection; zero on a kept one.
+	// opened says that a connection was opened for it, and connect is how much longer it
+	// takes for that; zero on a kept one.
+	opened  bool
 	connect rrunit.Duration
 	// suspect says that the job was suspect at the send, and alone that
 	// nothing else ran at the searcher, which was up.
@@ -174,7 +176,7 @@
 	}
 	j.Job = in
 	j.arrived = now
-	j.tried, j.round, j.sent, j.spent, j.stale = 0, 0, 0, 0, 0
+	j.tried, j.round, j.sent, j.spent, j.unread = 0, 0, 0, 0, 0
 	j.run, j.last = rrpeer.RunNot, ""
 	j.leaveAt, j.hedgeAt, j.demoteAt = in.Deadline, 0, 0
 	j.late, j.behind, j.extended = false, false, false
--- a/internal/policy/rrdispatch/settle.go
+++ b/internal/policy/rrdispatch/settle.go
@@ -15,9 +15,9 @@
 // them all.
 const maxRounds = 2
 
-// maxStale is how many connections may end at once under a job before that counts as
-// an attempt: one to each searcher of a shard, twice.
-const maxStale = 6
+// maxUnread is how many new connections may be reset at once under a job before that
+// counts as an attempt: one to each searcher of a shard, twice.
+const maxUnread = 6
 
 // settle decides what the end of its attempt means for the job.
 func (s *Shard) settle(now rrunit.Instant, a *attempt, outcome rrupstream.Outcome) {
@@ -27,10 +27,8 @@
 		s.answer(now, j, a)
 		return
 	}
-	if outcome == rrupstream.OutcomeStale {
-		j.stale++
-	}
-	if outcome.NotRun() || s.isUnread(j, outcome) {
+	unread := s.takeUnread(j, a, outcome)
+	if outcome.NotRun() || unread {
 		j.spent--
 	}
 	if !outcome.NotRun() {
@@ -47,10 +45,21 @@
 	case len(j.running) > 0:
 		s.resumeSingle(now, j)
 	default:
-		s.retry(now, j, outcome)
+		s.retry(now, j, outcome, unread)
 	}
 }
 
+// takeUnread reports whether a searcher that accepts no more connections has reset a new
+// one before it can have read the request, which costs it no work. It is so just after
+// many daemons have lost power.
+func (s *Shard) takeUnread(j *job, a *attempt, outcome rrupstream.Outcome) bool {
+	if !s.isShared() || outcome != rrupstream.OutcomeStale || !a.opened || j.unread >= maxUnread {
+		return false
+	}
+	j.unread++
+	return true
+}
+
 // answer ends a job whose attempt was answered. An older attempt that lost the
 // race counts against its searcher.
 func (s *Shard) answer(now rrunit.Instant, j *job, a *attempt) {
@@ -73,7 +82,7 @@
 
 // retry sends the job to another searcher, or gives the final reply at once if
 // that cannot be.
-func (s *Shard) retry(now rrunit.Instant, j *job, outcome rrupstream.Outcome) {
+func (s *Shard) retry(now rrunit.Instant, j *job, outcome rrupstream.Outcome, unread bool) {
 	s.queue.Remove(&j.entry)
 	j.hedgeAt = 0
 	switch {
@@ -85,7 +94,7 @@
 		s.replyHopeless(now, j)
 	case !s.possible(now, s.key(j)) && !s.nextRound(now, j):
 		s.replyHopeless(now, j)
-	case !s.afford(j, outcome):
+	case !unread && !s.afford(j, outcome):
 		s.replyHopeless(now, j)
 	default:
 		s.setLeave(now, j)
@@ -101,7 +110,7 @@
 	case outcome == rrupstream.OutcomeUnsent || outcome.NotRun() && !s.cfg.CountRefused:
 		return true
 	case s.isShared():
-		return s.isUnread(j, outcome) || s.budget.Spend(0)
+		return s.budget.Spend(0)
 	}
 	switch outcome {
 	case rrupstream.OutcomeLost, rrupstream.OutcomeStale, rrupstream.OutcomeSilent, rrupstream.OutcomeSnapshot:
@@ -114,13 +123,6 @@
 	}
 }
 
-// isUnread reports whether the connection ended before the searcher can have read the
-// request, which costs it no work: it accepts no more connections, as just after many
-// daemons have lost power, or has closed an idle one.
-func (s *Shard) isUnread(j *job, outcome rrupstream.Outcome) bool {
-	return s.isShared() && outcome == rrupstream.OutcomeStale && j.stale <= maxStale
-}
-
 // nextRound lets a job ask all searchers once more that turned it away as busy.
 func (s *Shard) nextRound(now rrunit.Instant, j *job) bool {
 	if j.last != rrupstream.OutcomeShed || j.run != rrpeer.RunNot || j.round+1 >= maxRounds {
--- a/internal/policy/rrdispatch/shard.go
+++ b/internal/policy/rrdispatch/shard.go
@@ -172,7 +172,7 @@
 	if a == nil {
 		return
 	}
-	a.connect = 0
+	a.opened, a.connect = opened, 0
 	if opened {
 		a.connect = a.searcher.Connect
 	}
--- a/internal/policy/rrdispatch/stale_test.go
+++ b/internal/policy/rrdispatch/stale_test.go
@@ -119,6 +119,7 @@
 			must.SliceLen(t, 1, actions)
 			must.Eq(t, rrdispatch.ActionSend, actions[0].Kind, must.Sprintf("job %d is given up as %s", id, actions[0].Reason))
 			now = now.Add(time.Millisecond)
+			s.NoteConnection(actions[0].Attempt, outcome == rrupstream.OutcomeStale)
 			actions = s.Finish(now, actions[0].Attempt, outcome)
 		}
 		must.SliceLen(t, 1, actions)
@@ -127,12 +128,27 @@
 	}
 }
 
+// A kept connection that ends at once may have carried the request to the searcher: it
+// costs the budget.
+func TestEndedConnectionsCostTheBudget(t *testing.T) {
+	s := shared()
+	before := s.BudgetLeft()
+	actions := s.Offer(second, rrdispatch.Job{ID: 1, Idempotent: true, Attempts: 2, Deadline: 2 * second})
+	must.SliceLen(t, 1, actions)
+	s.NoteConnection(actions[0].Attempt, false)
+	actions = s.Finish(second.Add(time.Millisecond), actions[0].Attempt, rrupstream.OutcomeStale)
+	must.SliceLen(t, 1, actions)
+	must.Eq(t, rrdispatch.ActionSend, actions[0].Kind)
+	must.LessEq(t, before-0.5, s.BudgetLeft())
+}
+
 // A request that must not run twice is not sent again: the searcher may have read it.
 func TestFullSearcherEndsWhatMustNotRunTwice(t *testing.T) {
 	s := shared()
 	now := rrunit.Instant(time.Second)
 	actions := s.Offer(now, rrdispatch.Job{ID: 1, Attempts: 2, Deadline: now.Add(time.Second)})
 	must.SliceLen(t, 1, actions)
+	s.NoteConnection(actions[0].Attempt, true)
 	actions = s.Finish(now.Add(time.Millisecond), actions[0].Attempt, rrupstream.OutcomeStale)
 	must.SliceLen(t, 1, actions)
 	must.Eq(t, rrdispatch.ActionReply, actions[0].Kind)
