--- a/internal/adapter/rrconn/rrconn_test.go
+++ b/internal/adapter/rrconn/rrconn_test.go
@@ -169,15 +169,18 @@
 	must.Eq(t, rrupstream.OutcomeFailed, res.Outcome)
 }
 
-func TestConnectionsAreKept(t *testing.T) {
-	s, to := serve(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
-		for {
-			if _, _, err := read(r); err != nil {
-				return
-			}
-			_, _ = io.WriteString(conn, answer("r-1", "hello"))
+// answerAll is a searcher that answers each request on a connection.
+func answerAll(_ int64, conn net.Conn, r *bufio.Reader) {
+	for {
+		if _, _, err := read(r); err != nil {
+			return
 		}
-	})
+		_, _ = io.WriteString(conn, answer("r-1", "hello"))
+	}
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	s, to := serve(t, answerAll)
 	c := newClient(t)
 	for range 5 {
 		must.Eq(t, rrupstream.OutcomeAnswered, forward(t, c, to, named("1")).Outcome)
@@ -190,14 +193,7 @@
 
 // A connection that was opened before it was needed is used by the next request.
 func TestConnectionIsReady(t *testing.T) {
-	s, to := serve(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
-		for {
-			if _, _, err := read(r); err != nil {
-				return
-			}
-			_, _ = io.WriteString(conn, answer("r-1", "hello"))
-		}
-	})
+	s, to := serve(t, answerAll)
 	c := newClient(t)
 	must.Zero(t, c.Idle(to))
 	for range 2 {
