Log the request limits that searchers name

A searcher's Server-Limit was not read at all, and no line or counter said how many requests a daemon sends to one searcher, so that the hypotheses could not be told apart. It is decoded in platform/, logged when it appears, changes or ends, with the attempts sent there before and meanwhile, and its attempts are counted. No decision uses it yet.

--- a/internal/adapter/rrconn/exchange.go
+++ b/internal/adapter/rrconn/exchange.go
@@ -183,6 +183,7 @@
 		Signature: res.header.Get(c.fields.Signature),
 	}
 	out.Load, out.LoadErr = parseLoad(res.header.Get(c.fields.Load))
+	out.RequestLimit, out.RequestLimitErr = c.decodeLimit(res.header)
 	if out.Outcome != rrupstream.OutcomeAnswered {
 		out.Err = eris.Errorf("status %d", res.status)
 	}
--- a/internal/adapter/rrconn/rrconn.go
+++ b/internal/adapter/rrconn/rrconn.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -32,7 +33,9 @@
 // Client sends requests to searchers. It is safe for concurrent use.
 type Client struct {
 	fields rrforward.HeaderNames
-	dialer net.Dialer
+	// decodeLimit decodes the request limit that a response names.
+	decodeLimit rrforward.LimitDecoder
+	dialer      net.Dialer
 
 	// mu guards pools.
 	mu    sync.Mutex
@@ -46,13 +49,27 @@
 	buffered atomic.Int64
 }
 
+// Option configures a Client.
+type Option func(*Client)
+
+// WithLimitDecoder sets the decoder of the request limits that searchers name. Without
+// it no response has one.
+func WithLimitDecoder(decode rrforward.LimitDecoder) Option {
+	return func(c *Client) { c.decodeLimit = decode }
+}
+
 // New returns a client for searchers that use the given header fields.
-func New(fields rrforward.HeaderNames) *Client {
-	return &Client{
-		fields: fields,
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1},
-		pools:  make(map[rrunit.SearcherID]*pool),
+func New(fields rrforward.HeaderNames, opts ...Option) *Client {
+	c := &Client{
+		fields:      fields,
+		decodeLimit: func(http.Header) (*rrunit.Rate, error) { return nil, nil },
+		dialer:      net.Dialer{Timeout: dialTimeout, KeepAlive: -1},
+		pools:       make(map[rrunit.SearcherID]*pool),
+	}
+	for _, opt := range opts {
+		opt(c)
 	}
+	return c
 }
 
 // Forward implements rrforward.Forwarder.
--- a/internal/app/rrcommand/platform.go
+++ b/internal/app/rrcommand/platform.go
@@ -49,6 +49,7 @@
 			node := rrnode.New(settings, rrnode.Platform{
 				Store:         store,
 				HeaderNames:   platform.Fields(),
+				DecodeLimit:   platform.DecodeLimit,
 				ReadinessPath: platform.ReadinessPath,
 				ReloadSignals: reloadSignals,
 				Reload:        func() (*rrsettings.GatewaySettings, error) { return platform.LoadSettings(path) },
--- a/internal/app/rrdispatchers/dispatcher.go
+++ b/internal/app/rrdispatchers/dispatcher.go
@@ -41,9 +41,11 @@
 	connecting map[rrunit.SearcherID]bool
 	// backoffUntil has, by searcher, until when no connection is opened in advance.
 	backoffUntil map[rrunit.SearcherID]rrunit.Instant
-	// unreadable has the searchers whose load header could not be parsed, each of which
-	// is logged once.
+	// unreadable has the searchers whose load or request limit could not be parsed, each
+	// of which is logged once.
 	unreadable map[rrunit.SearcherID]bool
+	// limits has the request limit of each searcher and the attempts sent there.
+	limits map[rrunit.SearcherID]*limitState
 	// zones has the availability zone of each searcher.
 	zones map[rrunit.SearcherID]rrunit.Zone
 	// roundTripsUpdated is when the core last got the measured round-trip times.
@@ -96,6 +98,7 @@
 		backoffUntil: make(map[rrunit.SearcherID]rrunit.Instant),
 
 		unreadable: make(map[rrunit.SearcherID]bool),
+		limits:     make(map[rrunit.SearcherID]*limitState),
 	}
 	d.timer = time.AfterFunc(time.Hour, d.tick)
 	p.applyKnownQuarantines(d)
@@ -112,6 +115,7 @@
 		d.targets = d.parent.targetsOf(d.name, c)
 		deleteMissing(d.backoffUntil, d.targets)
 		deleteMissing(d.unreadable, d.targets)
+		deleteMissing(d.limits, d.targets)
 		d.zones = make(map[rrunit.SearcherID]rrunit.Zone)
 		for _, searcher := range c.Searchers[d.name] {
 			d.zones[processID(&searcher)] = searcher.Zone
@@ -289,6 +293,7 @@
 	}
 	j.trace = append(j.trace, AttemptTrace{Searcher: a.Searcher, Start: d.parent.clock().Sub(j.offered), Took: -1})
 	d.attempts[a.Attempt] = at
+	d.countSend(at)
 	j.active++
 	id := a.Attempt
 	d.parent.pool.run(func() {
@@ -337,6 +342,7 @@
 		// connection that is now idle.
 		d.core.SetIdleConnections(d.idle)
 		d.recordLoad(now, at)
+		d.recordLimit(now, at)
 		return d.core.Finish(now, id, res.Outcome)
 	})
 	d.mu.Lock()
@@ -358,17 +364,23 @@
 func (d *dispatcher) recordLoad(now rrunit.Instant, at *attempt) {
 	res := &at.response
 	if res.LoadErr != nil {
-		d.parent.metrics.Count(rrmetrics.GroupUnreadableLoads, string(d.name))
-		if !d.unreadable[at.searcher] {
-			d.unreadable[at.searcher] = true
-			d.parent.log.StateChange("searcher's load not readable", "service", d.name, "searcher", at.searcher, "err", res.LoadErr)
-		}
+		d.recordUnreadable(at, res.LoadErr)
 	}
 	if l := res.Load; l != nil {
 		d.core.RecordAnswerLoad(now, at.searcher, rrestimate.Report{Load: l.Running + l.Waiting, Slowdown: float64(l.SlowdownPercent) / percentPerUnit})
 	}
 }
 
+// recordUnreadable counts a report of the searcher that could not be parsed, and logs the
+// first. The caller holds mu.
+func (d *dispatcher) recordUnreadable(at *attempt, err error) {
+	d.parent.metrics.Count(rrmetrics.GroupUnreadableLoads, string(d.name))
+	if !d.unreadable[at.searcher] {
+		d.unreadable[at.searcher] = true
+		d.parent.log.StateChange("searcher's load not readable", "service", d.name, "searcher", at.searcher, "err", err)
+	}
+}
+
 // count updates the metrics with a finished attempt.
 func (d *dispatcher) count(at *attempt) {
 	m := d.parent.metrics
--- a/internal/app/rrmetrics/gateway.go
+++ b/internal/app/rrmetrics/gateway.go
@@ -57,6 +57,9 @@
 	// GroupUnreadableLoads counts load reports in searchers' answers that could not be
 	// parsed, by service.
 	GroupUnreadableLoads Group = "unreadable"
+	// GroupLimited counts attempts at searchers that named a request limit, by service
+	// and whether the attempt was the first of its request.
+	GroupLimited Group = "limited"
 	// GroupSearcherStatus counts changes of searchers' status.
 	GroupSearcherStatus Group = "beliefs"
 )
@@ -80,7 +83,7 @@
 		latencies: make(map[Group]map[string]*latencyWindow),
 	}
 	for _, g := range []Group{
-		GroupRequests, GroupDegraded, GroupAttempts, GroupExtraAttempts, GroupConnections, GroupPreconnects, GroupStore, GroupPeerCalls, GroupEvidence, GroupUnreadableLoads, GroupSearcherStatus,
+		GroupRequests, GroupDegraded, GroupAttempts, GroupExtraAttempts, GroupConnections, GroupPreconnects, GroupStore, GroupPeerCalls, GroupEvidence, GroupUnreadableLoads, GroupLimited, GroupSearcherStatus,
 		GroupPeerBytes, GroupPeerConnections,
 	} {
 		m.groups[g] = new(expvar.Map)
--- a/internal/app/rrnode/rrnode.go
+++ b/internal/app/rrnode/rrnode.go
@@ -37,6 +37,8 @@
 type Platform struct {
 	Store       rrobject.Store
 	HeaderNames rrforward.HeaderNames
+	// DecodeLimit decodes the request limit in a searcher's response.
+	DecodeLimit rrforward.LimitDecoder
 	// ReadinessPath is the path of the load balancer's readiness probe.
 	ReadinessPath string
 	// Reload reads the settings again.
@@ -93,7 +95,7 @@
 	}
 	controlClients := rrlink.NewControlClients(codec, rrlink.WithMeter(peerTrafficMeter{n.metrics}))
 	defer controlClients.Close()
-	n.forwarder = rrconn.New(n.platform.HeaderNames)
+	n.forwarder = rrconn.New(n.platform.HeaderNames, rrconn.WithLimitDecoder(n.platform.DecodeLimit))
 	defer n.forwarder.Close()
 	n.build(workCtx, controlClients)
 	peers := grpc.NewServer(append(rrlink.ServerOptions(codec), rrlink.MeterOption(peerTrafficMeter{n.metrics}))...)
--- a/internal/domain/rrunit/rrunit.go
+++ b/internal/domain/rrunit/rrunit.go
@@ -56,6 +56,9 @@
 // Share is a fraction from 0 to 1.
 type Share float64
 
+// Rate is a number of events per second.
+type Rate float64
+
 // ShardKey identifies a shard in the deployment.
 type ShardKey struct {
 	Service ServiceName `json:"service"`
--- a/internal/port/rrforward/rrforward.go
+++ b/internal/port/rrforward/rrforward.go
@@ -76,10 +76,18 @@
 	// in the latter case, LoadErr is the error.
 	Load    *Load
 	LoadErr error
+	// RequestLimit is nil if the searcher named none, or if it is not readable; in the
+	// latter case, RequestLimitErr is the error.
+	RequestLimit    *rrunit.Rate
+	RequestLimitErr error
 	// NewConnection is true if a new connection was opened for the attempt.
 	NewConnection bool
 }
 
+// LimitDecoder returns the request rate that a searcher accepts from all daemons
+// together, by the header of its response; nil if the response names none.
+type LimitDecoder func(http.Header) (*rrunit.Rate, error)
+
 // Forwarder sends requests to searchers.
 type Forwarder interface {
 	// Forward runs one attempt. It returns when the response is complete, the time
