Reproduce the excess over a named request limit

rrshared gets searchers that name a limit and counts as the rule LIMIT does; two daemons and a stand-in show the same.

--- a/internal/bench/rrshared/daemon.go
+++ b/internal/bench/rrshared/daemon.go
@@ -304,8 +304,8 @@
 		sim.newConnections++
 	}
 	s.attempts[a.Attempt] = at
-	at.execution = &execution{class: j.class, meanTime: sim.Shape.Classes[j.class].ServiceTime, reply: func(o rrupstream.Outcome, report rrestimate.Report) {
-		sim.loop.After(roundTrip/2, func() { s.finish(a.Attempt, sent, o, report) })
+	at.execution = &execution{class: j.class, sender: s.daemon, meanTime: sim.Shape.Classes[j.class].ServiceTime, reply: func(o rrupstream.Outcome, r report) {
+		sim.loop.After(roundTrip/2, func() { s.finish(a.Attempt, sent, o, r) })
 	}}
 	sim.loop.After(delay, func() {
 		if !at.execution.ended {
@@ -314,7 +314,7 @@
 	})
 }
 
-func (s *shard) finish(id rrdispatch.AttemptID, sent rrunit.Instant, o rrupstream.Outcome, report rrestimate.Report) {
+func (s *shard) finish(id rrdispatch.AttemptID, sent rrunit.Instant, o rrupstream.Outcome, r report) {
 	at := s.attempts[id]
 	if at == nil || at.ended {
 		return
@@ -335,7 +335,8 @@
 	s.core.SetIdleConnections(s.idle)
 	s.core.RecordConnection(id, at.newConnection)
 	if o == rrupstream.OutcomeAnswered || o == rrupstream.OutcomeShed {
-		s.core.RecordAnswerLoad(now, at.searcher.id, report)
+		s.core.RecordAnswerLoad(now, at.searcher.id, r.load)
+		at.searcher.limit.recordTold(now, s.daemon, r.limit)
 	}
 	s.perform(s.core.Finish(now, id, o))
 }
@@ -359,7 +360,7 @@
 			return
 		}
 		sim.loop.After(s.daemon.roundTrip(at.searcher.region)/2, func() { at.searcher.cancel(at.execution) })
-		s.finish(a.Attempt, 0, rrupstream.OutcomeCancelled, rrestimate.Report{})
+		s.finish(a.Attempt, 0, rrupstream.OutcomeCancelled, report{})
 	}
 	if a.DelayCancel {
 		sim.loop.After(cancelDelay, end)
--- a/internal/bench/rrshared/rrshared.go
+++ b/internal/bench/rrshared/rrshared.go
@@ -168,6 +168,9 @@
 	ShedShare float64
 	LossShare float64
 	Down      bool
+	// LimitShare is the request limit that they name in their answers, as a share of the
+	// usual rate of one searcher; zero is none.
+	LimitShare float64
 	// ArrivalFactor multiplies the arrival rates of all classes; the other fields are
 	// then ignored.
 	ArrivalFactor float64
@@ -209,6 +212,10 @@
 	// MaxExtra is the number of extra attempts at one shard in the ten seconds that
 	// come closest to the bound or exceed it most; ExtraLimit is the bound there.
 	MaxExtra, ExtraLimit float64
+	// MaxLimited is the number of requests at one searcher that named a limit, in the
+	// four seconds that come closest to what it allows or exceed it most; LimitAllowed is
+	// what it allows. Both are zero if none named a limit.
+	MaxLimited, LimitAllowed float64
 }
 
 func (r *Result) String() string {
@@ -382,6 +389,7 @@
 		c.Credit /= float64(c.Requests) * s.Shape.Classes[i].TargetCredit
 	}
 	s.findMaxExtra(r)
+	s.findMaxLimited(r)
 	for _, w := range s.windows {
 		if w.possible > 0 {
 			r.Windows = append(r.Windows, w.earned/w.possible)
--- a/internal/bench/rrshared/searcher.go
+++ b/internal/bench/rrshared/searcher.go
@@ -21,14 +21,23 @@
 // execution is one attempt at a searcher.
 type execution struct {
 	class int
+	// sender is the daemon that sent it.
+	sender *daemon
 	// meanTime is the base service time, without slowdown.
 	meanTime time.Duration
-	// reply reports the outcome with the searcher's load report at that time.
-	reply   func(outcome rrupstream.Outcome, report rrestimate.Report)
+	// reply reports the outcome with the searcher's report at that time.
+	reply   func(outcome rrupstream.Outcome, r report)
 	running bool
 	ended   bool
 }
 
+// report is what a searcher says of itself in an answer.
+type report struct {
+	load rrestimate.Report
+	// limit is the request limit that it names; nil for none.
+	limit *rrunit.Rate
+}
+
 // searcher simulates a searcher with slots, a queue and pauses.
 type searcher struct {
 	sim        *sim
@@ -47,6 +56,8 @@
 	misreports bool
 	running    int
 	queue      []*execution
+	// limit records the requests that arrive while the searcher names a limit.
+	limit limitRecord
 }
 
 func newSearcher(s *sim, shard, region int) *searcher {
@@ -67,22 +78,40 @@
 	return w
 }
 
-func (w *searcher) applyFault(t Fault) { w.fault = t }
-func (w *searcher) clearFault()        { w.fault = Fault{} }
+func (w *searcher) applyFault(t Fault) {
+	w.fault = t
+	if t.LimitShare > 0 {
+		w.limit.start(w.sim.loop.Now(), rrunit.Rate(t.LimitShare*w.sim.Shape.searcherRate()))
+	}
+}
+
+func (w *searcher) clearFault() { w.fault = Fault{} }
 
 // receive queues or refuses an attempt that has just arrived.
 func (w *searcher) receive(k *execution) {
+	if w.fault.LimitShare > 0 {
+		w.limit.recordArrival(w.sim.loop.Now(), k.sender)
+	}
 	switch {
 	case w.fault.Down:
-		k.end(rrupstream.OutcomeUnsent, rrestimate.Report{})
+		k.end(rrupstream.OutcomeUnsent, report{})
 	case w.rng.Float64() < w.fault.ShedShare || len(w.queue) >= w.sim.Shape.QueueLimit:
-		k.end(rrupstream.OutcomeShed, w.loadReport())
+		k.end(rrupstream.OutcomeShed, w.report())
 	default:
 		w.queue = append(w.queue, k)
 		w.startQueued()
 	}
 }
 
+// report returns what the searcher says of itself.
+func (w *searcher) report() report {
+	r := report{load: w.loadReport()}
+	if w.fault.LimitShare > 0 {
+		r.limit = &w.limit.rate
+	}
+	return r
+}
+
 // loadReport returns the load that the searcher reports.
 func (w *searcher) loadReport() rrestimate.Report {
 	r := rrestimate.Report{Load: w.running + len(w.queue)}
@@ -143,7 +172,7 @@
 		if w.rng.Float64() < w.fault.LossShare {
 			outcome = rrupstream.OutcomeConnectionLost
 		}
-		k.end(outcome, w.loadReport())
+		k.end(outcome, w.report())
 		w.startQueued()
 	})
 }
@@ -170,9 +199,9 @@
 	}
 }
 
-func (k *execution) end(outcome rrupstream.Outcome, report rrestimate.Report) {
+func (k *execution) end(outcome rrupstream.Outcome, r report) {
 	k.ended = true
-	k.reply(outcome, report)
+	k.reply(outcome, r)
 }
 
 // cancel drops an attempt whose connection was closed.
