Keep to the request limits that searchers name

Cause: a searcher's own statement of what it takes was not read, so that each daemon went on at its usual rate; and nothing divided a rate that holds for all daemons together.

Every attempt at a searcher that names a limit now takes a token of this daemon's share, 1/n of the limit. Tokens expire after a second, so that the bound holds however many daemons come back at once; their fractions are spread over the daemons by place and time of day. A job without a token at any searcher is refused at once, not run and with the time to return, and a query that too many shards refuse is offered to none.

--- a/internal/app/rrdispatchers/dispatcher.go
+++ b/internal/app/rrdispatchers/dispatcher.go
@@ -416,10 +416,10 @@
 	})
 }
 
-func (d *dispatcher) isAvailable() bool {
+func (d *dispatcher) admits(rank int) (rrquery.Reason, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.core.CanServe(d.parent.clock())
+	return d.core.Admits(d.parent.clock(), rank)
 }
 
 func (d *dispatcher) state() rrdispatch.State {
--- a/internal/app/rrdispatchers/limit.go
+++ b/internal/app/rrdispatchers/limit.go
@@ -61,6 +61,11 @@
 		// The searcher itself has said nothing.
 		return
 	}
+	if res.RequestLimit == nil && res.Outcome != rrupstream.OutcomeAnswered {
+		// A failure may come from a part of the searcher that does not know of the limit.
+		return
+	}
+	d.core.RecordLimit(now, at.searcher, res.RequestLimit)
 	l := d.limitOf(at.searcher)
 	l.limit = res.RequestLimit
 	if !l.isNotable() {
--- a/internal/app/rrdispatchers/rrdispatchers.go
+++ b/internal/app/rrdispatchers/rrdispatchers.go
@@ -19,6 +19,7 @@
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrpeer"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrquery"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrbudget"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrdispatch"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrestimate"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrforward"
@@ -194,15 +195,27 @@
 	return d.offer(j, done)
 }
 
-// CountAvailable counts the services that have a searcher for a new job.
-func (p *Dispatchers) CountAvailable(services []rrunit.ServiceName) int {
-	n := 0
+// Refusal is why a service does not admit a request now.
+type Refusal struct {
+	Service    rrunit.ServiceName
+	Reason     rrquery.Reason
+	RetryAfter rrunit.Duration
+}
+
+// Refusals returns the refusals of the services that do not admit a request of the rank.
+func (p *Dispatchers) Refusals(services []rrunit.ServiceName, rank int) []Refusal {
+	var out []Refusal
 	for _, name := range services {
-		if d := p.dispatcher(name); d != nil && d.isAvailable() {
-			n++
+		d := p.dispatcher(name)
+		if d == nil {
+			out = append(out, Refusal{Service: name, Reason: rrquery.ReasonNoSearcher})
+			continue
+		}
+		if reason, retryAfter := d.admits(rank); reason != rrquery.ReasonNone {
+			out = append(out, Refusal{Service: name, Reason: reason, RetryAfter: rrunit.Duration(retryAfter)})
 		}
 	}
-	return n
+	return out
 }
 
 // dispatcher returns the dispatcher of the service, creating it if needed, or nil
@@ -287,16 +300,33 @@
 // list of instances is empty.
 const assumedDaemons = 32
 
+// countDaemons returns how many daemons share the searchers.
+func countDaemons(c *rrcatalog.Catalog) int {
+	if len(c.Instances) == 0 {
+		return assumedDaemons
+	}
+	return len(c.Instances)
+}
+
+// quotaPhase returns the phase of this daemon's shares of searchers' request limits, by
+// its place in the order of all daemons' ids.
+func (p *Dispatchers) quotaPhase(c *rrcatalog.Catalog) rrbudget.QuotaPhase {
+	index, self := 0, p.settings.Load().Instance
+	for i := range c.Instances {
+		if c.Instances[i].ID < self {
+			index++
+		}
+	}
+	return rrbudget.NewQuotaPhase(index, countDaemons(c), p.clock(), time.Duration(time.Now().UnixNano()))
+}
+
 // quarantineTime is how long a request that crashes searchers is refused.
 const quarantineTime = rrunit.Duration(time.Minute)
 
 // coreConfig returns the configuration of a service's decision core.
 func (p *Dispatchers) coreConfig(name rrunit.ServiceName, c *rrcatalog.Catalog) rrdispatch.Config {
 	bounds := &p.settings.Load().Bounds
-	daemons := len(c.Instances)
-	if daemons == 0 {
-		daemons = assumedDaemons
-	}
+	daemons := countDaemons(c)
 	cfg := rrdispatch.Config{
 		QueueLimit:         maxQueuedPerRank,
 		ExtraShare:         bounds.ExtraShare,
@@ -306,6 +336,7 @@
 		ServiceTimes:       p.serviceTimes,
 		ReportStatus:       true,
 		QuarantineDuration: quarantineTime,
+		QuotaPhase:         p.quotaPhase(c),
 		Seed:               rand.Uint64(),
 	}
 	ranks := 1
@@ -323,6 +354,7 @@
 			Slots:         searcher.Slots,
 			RoundTrip:     p.roundTrip(searcher.Zone),
 			ConnectTime:   p.connectTime(searcher.Zone),
+			LimitShare:    1 / rrunit.Share(daemons),
 			WarmupLeft:    searcher.WarmupLeft,
 		})
 	}
--- a/internal/app/rrexplain/rrexplain.go
+++ b/internal/app/rrexplain/rrexplain.go
@@ -73,6 +73,8 @@
 	CauseNoSearcher Cause = "nosearcher"
 	// CauseRefused means that searchers refused it, or it waited too long for one.
 	CauseRefused Cause = "refused"
+	// CauseLimited means that the request limits that searchers name left no room.
+	CauseLimited Cause = "limited"
 	// CauseSlow means that searchers were slow or stalled.
 	CauseSlow Cause = "slow"
 	// CauseLost means that a searcher or its answer was lost.
@@ -184,6 +186,8 @@
 		return CauseNoSearcher
 	case "overload":
 		return CauseRefused
+	case "limited":
+		return CauseLimited
 	case "quarantine":
 		return CauseQuarantine
 	case "cancelled":
@@ -202,20 +206,12 @@
 func causeOfParts(final Line, parts []Line) Cause {
 	counts := make(map[Cause]int)
 	for _, p := range parts {
-		switch {
-		case p["msg"] == "part answered":
-		case p["reason"] == "nosearcher":
-			counts[CauseNoSearcher]++
-		case p["reason"] == "overload":
-			counts[CauseRefused]++
-		case p["reason"] == "lost":
-			counts[CauseLost]++
-		default:
-			counts[CauseSlow]++
+		if p["msg"] != "part answered" {
+			counts[causeOfPart(p)]++
 		}
 	}
 	best := CauseUnknown
-	for _, c := range []Cause{CauseSlow, CauseLost, CauseRefused, CauseNoSearcher} {
+	for _, c := range []Cause{CauseSlow, CauseLost, CauseRefused, CauseLimited, CauseNoSearcher} {
 		if counts[c] > counts[best] {
 			best = c
 		}
@@ -226,6 +222,22 @@
 	return best
 }
 
+// causeOfPart returns the cause of a part without an answer.
+func causeOfPart(p Line) Cause {
+	switch p["reason"] {
+	case "nosearcher":
+		return CauseNoSearcher
+	case "overload":
+		return CauseRefused
+	case "limited":
+		return CauseLimited
+	case "lost":
+		return CauseLost
+	default:
+		return CauseSlow
+	}
+}
+
 // addStatusChanges adds the daemon's changes of state shortly before the request's
 // end: the status of the searchers that the request was sent to, and of all
 // searchers of services for which it was sent to none; the routing table; and the
@@ -239,8 +251,7 @@
 		}
 		switch {
 		case isStatusChange(l) && concernsParts(l, parts):
-			r.addStep(l, "%s was taken to be %s %s before (%s)", l["searcher"],
-				strings.TrimPrefix(l["msg"], "searcher "), end.Sub(at).Round(time.Millisecond), orDefault(l["cause"], "by its entry"))
+			r.addStep(l, "%s %s before%s", statusFinding(l), end.Sub(at).Round(time.Millisecond), statusCause(l))
 		case l["msg"] == "routing table in force":
 			r.addStep(l, "routing table %s came into force %s before", l["number"], end.Sub(at).Round(time.Millisecond))
 		case l["msg"] == "source of knowledge":
@@ -255,6 +266,22 @@
 	return l["searcher"] != "" && strings.HasPrefix(l["msg"], "searcher ")
 }
 
+// statusFinding returns what a change of a searcher's status says.
+func statusFinding(l Line) string {
+	if l["limit"] != "" {
+		return fmt.Sprintf("%s named a limit of %s requests a second", l["searcher"], l["limit"])
+	}
+	return fmt.Sprintf("%s was taken to be %s", l["searcher"], strings.TrimPrefix(l["msg"], "searcher "))
+}
+
+// statusCause returns why a searcher's status changed; empty if the searcher said so.
+func statusCause(l Line) string {
+	if l["limit"] != "" {
+		return ""
+	}
+	return " (" + orDefault(l["cause"], "by its entry") + ")"
+}
+
 // concernsParts reports whether a status change is of a searcher that a part was
 // sent to, or of one in a service whose part was sent to no searcher.
 func concernsParts(statusChange Line, parts []Line) bool {
--- a/internal/app/rrgateway/gather.go
+++ b/internal/app/rrgateway/gather.go
@@ -38,9 +38,10 @@
 // serveGather sends the request to all shards of the route and merges their records.
 func (r *requestRun) serveGather(ctx context.Context) *Answer {
 	shards := r.route.Shards
-	if available := r.gateway.dispatchers.CountAvailable(shards); available < r.route.RequiredShards() {
+	refusals := r.gateway.dispatchers.Refusals(shards, r.route.Rank)
+	if len(shards)-len(refusals) < r.route.RequiredShards() {
 		// Too few shards can answer, so work at the others would be wasted.
-		return Refuse(rrquery.ReasonNoSearcher, defaultRetryAfter)
+		return r.refuseGather(refusals)
 	}
 	results := make(chan shardResult, len(shards))
 	cancels := make([]rrdispatchers.CancelFunc, len(shards))
@@ -73,6 +74,19 @@
 	}
 }
 
+// refuseGather returns the answer to a request that too many shards refuse. It was offered
+// to none.
+func (r *requestRun) refuseGather(refusals []rrdispatchers.Refusal) *Answer {
+	var last rrdispatchers.Refusal
+	for _, refusal := range refusals {
+		r.logService(refusal.Service, &rrdispatchers.Result{Run: rrpeer.RunNever, Reason: refusal.Reason}, true)
+		if refusal.RetryAfter >= last.RetryAfter {
+			last = refusal
+		}
+	}
+	return Refuse(last.Reason, last.RetryAfter)
+}
+
 // targetTime returns the instant from which an answer with missing shards is preferred
 // to waiting for the rest.
 func (r *requestRun) targetTime() rrunit.Instant {
--- a/internal/bench/rrshared/daemon.go
+++ b/internal/bench/rrshared/daemon.go
@@ -7,6 +7,7 @@
 
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrquery"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrbudget"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrdispatch"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrestimate"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrgather"
@@ -19,7 +20,9 @@
 
 // daemon runs the requests of its callers.
 type daemon struct {
-	sim          *sim
+	sim *sim
+	// index is the daemon's index among all.
+	index        int
 	region       int
 	rng          *rand.Rand
 	serviceTimes *rrestimate.ServiceTimes
@@ -61,6 +64,7 @@
 func newDaemon(s *sim, region int) *daemon {
 	d := &daemon{
 		sim:          s,
+		index:        len(s.daemons),
 		region:       region,
 		rng:          rand.New(rand.NewPCG(s.Seed, uint64(5000+len(s.daemons)))),
 		serviceTimes: rrestimate.NewServiceTimes(),
@@ -87,11 +91,11 @@
 	cfg := rrdispatch.Config{
 		QueueLimit: 256, ExtraShare: s.Shape.ExtraShare, ExtraWindow: extraWindowSeconds * rrunit.Duration(time.Second), ExtraSlack: float64(s.Shape.ExtraSlack) / float64(daemons), ChargeRefused: true,
 		ServiceTimes: d.serviceTimes, QuarantineDuration: rrunit.Duration(time.Minute), Seed: s.Seed + uint64(index),
-		Ranks: []rrdispatch.Rank{{Floor: 1.0 / 6}, {Floor: 1.0 / 6}, {Floor: 1.0 / 6}},
+		Ranks: []rrdispatch.Rank{{Floor: 1.0 / 6}, {Floor: 1.0 / 6}, {Floor: 1.0 / 6}}, QuotaPhase: rrbudget.NewQuotaPhase(d.index, daemons, 0, 0),
 	}
 	for region := range s.Shape.Regions {
 		cfg.Searchers = append(cfg.Searchers, rrdispatch.Searcher{
-			ID: searcherID(index, region), Zone: zone(region), Slots: s.Shape.Slots, IsOtherRegion: region != d.region,
+			ID: searcherID(index, region), Zone: zone(region), Slots: s.Shape.Slots, IsOtherRegion: region != d.region, LimitShare: 1 / rrunit.Share(daemons),
 			RoundTrip: d.zoneRoundTrip(zone(region)), ConnectTime: d.zoneConnectTime(zone(region)),
 		})
 	}
@@ -180,6 +184,11 @@
 		Shards: d.sim.Shape.Shards, MinShards: needed, Target: target, Deadline: now.Add(c.Deadline),
 	})}
 	priority := d.rng.Float64()
+	if d.admitting(c.Rank) < needed {
+		r.done = true
+		d.sim.recordResult(class, now, 0)
+		return
+	}
 	for _, s := range d.shards {
 		r.cancels = append(r.cancels, s.offer(class, priority, target, now.Add(c.Deadline-deadlineMargin), func(succeeded bool) {
 			r.core.AddResult(succeeded)
@@ -189,6 +198,17 @@
 	r.scheduleDecision()
 }
 
+// admitting counts the shards that admit a request of the rank.
+func (d *daemon) admitting(rank int) int {
+	n := 0
+	for _, s := range d.shards {
+		if reason, _ := s.core.Admits(d.sim.loop.Now(), rank); reason == rrquery.ReasonNone {
+			n++
+		}
+	}
+	return n
+}
+
 // scheduleDecision schedules a new decision for when the passing of time may change it.
 func (r *request) scheduleDecision() {
 	next := r.core.NextDecision(r.daemon.sim.loop.Now())
@@ -336,6 +356,7 @@
 	s.core.RecordConnection(id, at.newConnection)
 	if o == rrupstream.OutcomeAnswered || o == rrupstream.OutcomeShed {
 		s.core.RecordAnswerLoad(now, at.searcher.id, r.load)
+		s.core.RecordLimit(now, at.searcher.id, r.limit)
 		at.searcher.limit.recordTold(now, s.daemon, r.limit)
 	}
 	s.perform(s.core.Finish(now, id, o))
--- a/internal/domain/rrquery/answer.go
+++ b/internal/domain/rrquery/answer.go
@@ -44,6 +44,8 @@
 	ReasonExpired    Reason = "expired"
 	ReasonCancelled  Reason = "cancelled"
 	ReasonRejected   Reason = "rejected"
+	// ReasonLimited means that the request limits that the searchers name leave no room.
+	ReasonLimited Reason = "limited"
 	// ReasonMalformed and ReasonNoRoute refuse a request before it is routed.
 	ReasonMalformed Reason = "malformed"
 	ReasonNoRoute   Reason = "noroute"
@@ -121,7 +123,7 @@
 
 func refusedStatus(reason Reason) int {
 	switch reason {
-	case ReasonOverload:
+	case ReasonOverload, ReasonLimited:
 		return http.StatusTooManyRequests
 	case ReasonDuplicate:
 		return http.StatusConflict
--- a/internal/policy/rrdispatch/choose.go
+++ b/internal/policy/rrdispatch/choose.go
@@ -122,7 +122,7 @@
 
 // canTake reports whether the searcher can start a job of the lane now.
 func (s *Shard) canTake(now rrunit.Instant, rank int, w *searcher, key laneKey) bool {
-	return key.tried&w.bit == 0 && w.canStart(now) && w.mayConnect(now) && w.mayServe(key.version, now) && s.hasCapacity(now, rank, w, key)
+	return key.tried&w.bit == 0 && w.canStart(now) && w.hasQuota(now) && w.mayConnect(now) && w.mayServe(key.version, now) && s.hasCapacity(now, rank, w, key)
 }
 
 // probeDue reports whether a job of the rank is used to probe a searcher that was down,
--- a/internal/policy/rrdispatch/configure.go
+++ b/internal/policy/rrdispatch/configure.go
@@ -67,6 +67,10 @@
 			continue
 		}
 		w.configure(s.now, c)
+		if w.quota != nil {
+			w.quota.SetPhase(s.now, s.quotaPhase(w))
+			w.quota.SetRate(s.now, w.quotaRate())
+		}
 		s.searchers = append(s.searchers, w)
 	}
 	for _, w := range previous {
--- a/internal/policy/rrdispatch/finish.go
+++ b/internal/policy/rrdispatch/finish.go
@@ -206,6 +206,9 @@
 	if at := s.earliestRetry(now, key); at >= j.Deadline {
 		return rrquery.ReasonNoSearcher, at.Sub(now)
 	}
+	if wait, ok := s.limitWait(now, j.Rank, key); ok {
+		return rrquery.ReasonLimited, wait
+	}
 	if s.isShared() {
 		// The longest wait predicts little where jobs are served by random priority.
 		return rrquery.ReasonNone, 0
--- /dev/null
+++ b/internal/policy/rrdispatch/limit.go
@@ -0,0 +1,105 @@
+package rrdispatch
+
+import (
+	"math/bits"
+	"time"
+
+	"rhubarbreel.example/rhubarbreel/internal/domain/rrquery"
+	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrbudget"
+)
+
+const (
+	// minRequestLimit is the request rate of all daemons at a searcher that names a lower
+	// limit. Only answers show that the limit has ended.
+	minRequestLimit rrunit.Rate = 0.5
+	// maxLimitRetryAfter bounds the time after which a request that the limits leave no
+	// room for may be tried again, as they can end at any time.
+	maxLimitRetryAfter = 2 * time.Second
+)
+
+// RecordLimit records the request limit that a searcher named in its answer; nil if it
+// named none.
+func (s *Shard) RecordLimit(now rrunit.Instant, id rrunit.SearcherID, limit *rrunit.Rate) {
+	w := s.findSearcher(id)
+	switch {
+	case w == nil:
+	case limit == nil:
+		w.quota = nil
+	default:
+		w.limit = *limit
+		if w.quota == nil {
+			w.quota = rrbudget.NewQuota(now, s.quotaPhase(w))
+		}
+		w.quota.SetRate(now, w.quotaRate())
+	}
+}
+
+// quotaPhase returns the phase of the searcher's quota.
+func (s *Shard) quotaPhase(w *searcher) rrbudget.QuotaPhase {
+	return s.cfg.QuotaPhase.Spread(bits.TrailingZeros64(uint64(w.bit)))
+}
+
+// quotaRate returns this daemon's share of the searcher's limit.
+func (w *searcher) quotaRate() rrunit.Rate {
+	return max(w.limit, minRequestLimit) * rrunit.Rate(w.LimitShare)
+}
+
+// hasQuota reports whether the searcher's request limit, if it names one, leaves room for
+// an attempt now.
+func (w *searcher) hasQuota(now rrunit.Instant) bool {
+	return w.quota == nil || w.quota.Available(now) > 0
+}
+
+// spendQuota counts an attempt that is sent.
+func (w *searcher) spendQuota(now rrunit.Instant) {
+	if w.quota != nil {
+		w.quota.Spend(now)
+	}
+}
+
+// quotaAt returns when the searcher may have room under its limit; zero if it has.
+func (w *searcher) quotaAt(now rrunit.Instant) rrunit.Instant {
+	if w.hasQuota(now) {
+		return 0
+	}
+	return w.quota.Next(now)
+}
+
+// limitWait returns how long a new job of the lane has to wait because of the request
+// limits, and false if it does not have to. Jobs that wait already and are as urgent start
+// first.
+func (s *Shard) limitWait(now rrunit.Instant, rank int, key laneKey) (time.Duration, bool) {
+	quota, rate := 0, rrunit.Rate(0)
+	for _, w := range s.searchers {
+		if key.tried&w.bit != 0 || w.health != healthUp || !w.mayServe(key.version, now) {
+			continue
+		}
+		if w.quota == nil {
+			return 0, false
+		}
+		quota += w.quota.Available(now)
+		rate += w.quotaRate()
+	}
+	ahead := 0
+	for r := range rank + 1 {
+		ahead += s.queue.Waiting(r)
+	}
+	if rate == 0 || quota > ahead {
+		return 0, false
+	}
+	wait := time.Duration(float64(ahead+1) / float64(rate) * float64(time.Second))
+	return min(max(wait, minBackoff), maxLimitRetryAfter), true
+}
+
+// Admits reports whether a new job of the rank may be served by any searcher: it returns
+// no reason, or why not and the time after which to try again, zero if unknown.
+func (s *Shard) Admits(now rrunit.Instant, rank int) (rrquery.Reason, time.Duration) {
+	if !s.canServe(now, laneKey{}) {
+		return rrquery.ReasonNoSearcher, 0
+	}
+	if wait, ok := s.limitWait(now, s.clampRank(rank), laneKey{}); ok {
+		return rrquery.ReasonLimited, wait
+	}
+	return rrquery.ReasonNone, 0
+}
--- a/internal/policy/rrdispatch/rrdispatch.go
+++ b/internal/policy/rrdispatch/rrdispatch.go
@@ -10,6 +10,7 @@
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrpeer"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrquery"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrbudget"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrestimate"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrquarantine"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrupstream"
@@ -39,6 +40,8 @@
 	RoundTrip rrunit.Duration
 	// ConnectTime is how much longer an attempt takes on a new connection.
 	ConnectTime rrunit.Duration
+	// LimitShare is this daemon's share of a request limit that the searcher names.
+	LimitShare rrunit.Share
 	// WarmupLeft is the remaining time in which the searcher is slow after its start.
 	WarmupLeft rrunit.Duration
 }
@@ -72,6 +75,8 @@
 	ReportStatus bool
 	// QuarantineDuration is how long a job that crashes its searcher is refused.
 	QuarantineDuration rrunit.Duration
+	// QuotaPhase is the phase of this daemon's shares of searchers' request limits.
+	QuotaPhase rrbudget.QuotaPhase
 	// Seed is the seed of the random source that spreads jobs and probes.
 	Seed uint64
 	// Tuning overrides the default parameters of the decisions.
--- a/internal/policy/rrdispatch/searcher.go
+++ b/internal/policy/rrdispatch/searcher.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrbudget"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrestimate"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrupstream"
 )
@@ -141,6 +142,10 @@
 	// number of new connections that it has reset in a row.
 	nextConnectAt rrunit.Instant
 	connectResets int
+	// limit is the request limit that the searcher names, of all daemons together, and
+	// quota this daemon's share of it; quota is nil while the searcher names none.
+	limit rrunit.Rate
+	quota *rrbudget.Quota
 	// estimator is used where other daemons send to the searcher too.
 	estimator rrestimate.Estimator
 
--- a/internal/policy/rrdispatch/shard.go
+++ b/internal/policy/rrdispatch/shard.go
@@ -322,6 +322,7 @@
 	for _, w := range s.searchers {
 		later(w.retryAt)
 		later(w.nextConnectAt)
+		later(w.quotaAt(s.now))
 		if s.isShared() {
 			later(s.capacityAt(w))
 		}
--- a/internal/policy/rrdispatch/shared.go
+++ b/internal/policy/rrdispatch/shared.go
@@ -157,12 +157,13 @@
 }
 
 // leastEstimate returns the lowest estimated latency of the searchers that the job was
-// not sent to. If connected is set, open connections to all of them are assumed.
+// not sent to. If connected is set, open connections to all of them are assumed, and those
+// whose request limits leave no room now are left out.
 func (s *Shard) leastEstimate(now rrunit.Instant, j *job, connected bool) (time.Duration, bool) {
 	var best time.Duration
 	found := false
 	for _, w := range s.searchers {
-		if j.tried&w.bit != 0 || w.isClosed() || w.health != healthUp {
+		if j.tried&w.bit != 0 || w.isClosed() || w.health != healthUp || connected && !w.hasQuota(now) {
 			continue
 		}
 		r := s.estimateRequest(j.Rank, w)
@@ -233,9 +234,6 @@
 // isPastTarget reports whether the job's target has passed.
 func (j *job) isPastTarget(now rrunit.Instant) bool { return j.Target != 0 && now >= j.Target }
 
-// CanServe reports whether any searcher may serve a new job, now or later.
-func (s *Shard) CanServe(now rrunit.Instant) bool { return s.canServe(now, laneKey{}) }
-
 // maxQueuedTurns limits the queue at a searcher, as a multiple of its slots. One turn
 // keeps the slots busy during a round trip. Jobs in this dispatcher's queue are served by
 // rank and random priority, which the searcher does not have.
--- a/internal/policy/rrdispatch/state.go
+++ b/internal/policy/rrdispatch/state.go
@@ -47,6 +47,10 @@
 	// used only where other daemons send to it too.
 	Slowdown    float64      `json:"pace"`
 	FailureRate rrunit.Share `json:"misses"`
+	// Limit is the request limit, in requests a second of all daemons, that the searcher
+	// names; nil for none. Quota is how many requests this daemon may send now under it.
+	Limit *rrunit.Rate `json:"limit,omitempty"`
+	Quota int          `json:"quota,omitempty"`
 }
 
 // QuarantineState is a fingerprint whose requests are refused.
@@ -78,7 +82,7 @@
 }
 
 func (w *searcher) state(now rrunit.Instant) SearcherState {
-	return SearcherState{
+	st := SearcherState{
 		ID:          w.ID,
 		Health:      string(w.health),
 		Busy:        len(w.running),
@@ -90,4 +94,9 @@
 		Slowdown:    w.estimator.Slowdown(now),
 		FailureRate: rrunit.Share(w.estimator.FailureRate(now)),
 	}
+	if w.quota != nil {
+		limit := w.limit
+		st.Limit, st.Quota = &limit, w.quota.Available(now)
+	}
+	return st
 }
--- a/internal/policy/rrdispatch/suspect.go
+++ b/internal/policy/rrdispatch/suspect.go
@@ -71,7 +71,7 @@
 // canStartSuspect reports whether the searcher can start a suspect now: it is idle, or
 // was reserved for maxReserveTime.
 func (w *searcher) canStartSuspect(now rrunit.Instant) bool {
-	if w.isClosed() || w.runsSuspect || now < w.retryAt || len(w.running) >= w.currentLimit() {
+	if w.isClosed() || w.runsSuspect || !w.hasQuota(now) || now < w.retryAt || len(w.running) >= w.currentLimit() {
 		return false
 	}
 	return len(w.running) == 0 || w.reserved && now >= w.reservedAt.Add(maxReserveTime)
--- a/internal/test/rrplatform/limit_test.go
+++ b/internal/test/rrplatform/limit_test.go
@@ -73,3 +73,40 @@
 	all.Wait()
 	must.LessEq(t, most, float64(mostWithin(limited.Runs(), began.Add(settle), window)))
 }
+
+// If the limits of all searchers leave no room, requests are refused at once, as not run
+// and with the time after which to try again; requests for too many such shards run at no
+// other shard either. Once the limits end, all are answered.
+func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
+	f := newFleet(t)
+	d := f.start("d1", "a")
+	limited := append(f.searchersOf("one"), append(f.searchersOf("s0"), f.searchersOf("s1")...)...)
+	for _, s := range limited {
+		s.SetRequestLimit("1")
+	}
+	d.callAt("/one/", 40, 500*time.Millisecond)
+	d.callAt("/all/", 40, 500*time.Millisecond)
+	ran := f.received("s2")
+	refused := 0
+	for range 50 {
+		for _, path := range []string{"/one/", "/all/"} {
+			began := time.Now()
+			a := d.get(path)
+			must.SliceContains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, a.status)
+			if a.status == http.StatusServiceUnavailable {
+				refused++
+				must.Less(t, 100*time.Millisecond, time.Since(began))
+				must.NotEq(t, "", a.header.Get("Retry-After"))
+			}
+		}
+	}
+	must.Greater(t, 80, refused)
+	must.Less(t, 20, f.received("s2")-ran)
+	for _, s := range limited {
+		s.SetRequestLimit("")
+	}
+	f.eventually("all requests are answered", func() bool {
+		statuses := d.callAt("/one/", 40, time.Second)
+		return statuses[http.StatusOK] >= 39 && len(statuses) == 1
+	})
+}
