Tell the zone of limits that begin or end

Callers of large fleets went on being refused for seconds after the limits had ended: a daemon whose share is a fifth of a request a second asks a limited searcher every five seconds, and only its answers said that the limit was over.

Changes of a limit, its end too, are evidence for the zone's daemons now, as failures and slow machines are; nothing is sent while a limit stays. Of two statements the later counts. Ruled out: telling the limit with each answer, which costs a message to twelve daemons four times a second for as long as a searcher is in need.

--- a/internal/app/rrdispatchers/evidence.go
+++ b/internal/app/rrdispatchers/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrpeer"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrdispatch"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrestimate"
 )
 
@@ -10,7 +11,8 @@
 const percentPerUnit = 100
 
 // TakeEvidence returns the outcomes of requests since the last call at searchers that
-// failed some of them, or that reported much more load than usual.
+// failed some of them, or that reported much more load than usual, and the changes of
+// searchers' request limits.
 func (p *Dispatchers) TakeEvidence() []rrpeer.SearcherEvidence {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
@@ -25,6 +27,11 @@
 			}
 			out = append(out, m)
 		})
+		d.core.TakeLimits(func(id rrunit.SearcherID, r rrdispatch.LimitReport) {
+			out = append(out, rrpeer.SearcherEvidence{
+				Service: name, Searcher: id, Limit: &rrpeer.LimitReport{Age: rrpeer.NewAge(now.Sub(r.At)), Limit: r.Limit},
+			})
+		})
 		d.mu.Unlock()
 	}
 	return out
@@ -49,6 +56,9 @@
 		}
 		d.mu.Lock()
 		d.core.MergeObservations(now, m.Searcher, observed)
+		if l := m.Limit; l != nil {
+			d.core.MergeLimit(now, m.Searcher, rrdispatch.LimitReport{Limit: l.Limit, At: now.Add(-l.Age.Std())})
+		}
 		d.mu.Unlock()
 	}
 }
--- a/internal/bench/rrshared/daemon.go
+++ b/internal/bench/rrshared/daemon.go
@@ -116,7 +116,10 @@
 		now := d.sim.loop.Now()
 		for index, s := range d.shards {
 			s.core.TakeObservations(func(id rrunit.SearcherID, o rrestimate.Observation) {
-				d.sim.loop.After(d.sim.Shape.RoundTrip, func() { d.sim.mergeEvidence(self, index, id, o) })
+				d.sim.sendEvidence(self, index, func(core *rrdispatch.Shard) { core.MergeObservations(d.sim.loop.Now(), id, o) })
+			})
+			s.core.TakeLimits(func(id rrunit.SearcherID, r rrdispatch.LimitReport) {
+				d.sim.sendEvidence(self, index, func(core *rrdispatch.Shard) { core.MergeLimit(d.sim.loop.Now(), id, r) })
 			})
 		}
 		if now < rrunit.Instant(d.sim.Duration) {
@@ -125,13 +128,16 @@
 	})
 }
 
-// mergeEvidence merges a daemon's observation at its evidence peers.
-func (s *sim) mergeEvidence(sender, index int, id rrunit.SearcherID, o rrestimate.Observation) {
-	n := s.Shape.DaemonsPerRegion
-	first := sender / n * n
-	for i := 1; i <= min(maxEvidencePeers, n-1); i++ {
-		s.daemons[first+(sender-first+i)%n].shards[index].core.MergeObservations(s.loop.Now(), id, o)
-	}
+// sendEvidence merges a daemon's evidence on a shard at its evidence peers, a round trip
+// later.
+func (s *sim) sendEvidence(sender, index int, merge func(*rrdispatch.Shard)) {
+	s.loop.After(s.Shape.RoundTrip, func() {
+		n := s.Shape.DaemonsPerRegion
+		first := sender / n * n
+		for i := 1; i <= min(maxEvidencePeers, n-1); i++ {
+			merge(s.daemons[first+(sender-first+i)%n].shards[index].core)
+		}
+	})
 }
 
 func zone(region int) rrunit.Zone { return rrunit.Zone(strconv.Itoa(region)) }
--- a/internal/bench/rrshared/limit_test.go
+++ b/internal/bench/rrshared/limit_test.go
@@ -27,3 +27,28 @@
 		})
 	}
 }
+
+// endedLimitCredit bounds the credit from the second after limits have ended.
+const endedLimitCredit = 0.9
+
+// Daemons of a large fleet go on keeping to limits that have ended, as each asks a limited
+// searcher only every few seconds.
+func TestEndOfLimitsIsKnownToTheZone(t *testing.T) {
+	if testing.Short() {
+		t.Skip("a long run")
+	}
+	// Until a second before the last window but one begins.
+	o := options(rrshared.Grown(), rrshared.Fault{From: 3 * second, Until: 11 * second, Share: 1, LimitShare: 0.5})
+	credit := func() float64 {
+		sum := 0.0
+		for seed := range uint64(4) {
+			o.Seed = 60 + seed
+			sum += rrshared.Run(o).Windows[6] / 4
+		}
+		return sum
+	}
+	with := credit()
+	must.GreaterEq(t, endedLimitCredit, with)
+	o.NoEvidence = true
+	must.Greater(t, credit(), with)
+}
--- a/internal/domain/rrpeer/evidence.go
+++ b/internal/domain/rrpeer/evidence.go
@@ -17,6 +17,15 @@
 	Failed   int                `json:"missed,omitempty"`
 	// Load is the load that the searcher reported, nil unless it is high.
 	Load *LoadReport `json:"told,omitempty"`
+	// Limit is the request limit that the searcher named, nil unless that has changed.
+	Limit *LimitReport `json:"limit,omitempty"`
+}
+
+// LimitReport is the request limit that a searcher named some time ago.
+type LimitReport struct {
+	Age Age `json:"age"`
+	// Limit is in requests a second of all daemons; nil if the searcher named none.
+	Limit *rrunit.Rate `json:"rate,omitempty"`
 }
 
 // LoadReport is a searcher's load report of some time ago.
@@ -48,6 +57,9 @@
 		if m.Load != nil && (m.Load.Requests < 0 || m.Load.SlowdownPercent < 0) {
 			return rrunit.Invalid("met.told", "a figure of %q is below 0", m.Searcher)
 		}
+		if m.Limit != nil && m.Limit.Limit != nil && !(*m.Limit.Limit >= 0) {
+			return rrunit.Invalid("met.limit.rate", "%g of %q is not 0 or more", float64(*m.Limit.Limit), m.Searcher)
+		}
 	}
 	return nil
 }
--- a/internal/policy/rrdispatch/limit.go
+++ b/internal/policy/rrdispatch/limit.go
@@ -1,6 +1,7 @@
 package rrdispatch
 
 import (
+	"math"
 	"math/bits"
 	"time"
 
@@ -18,21 +19,76 @@
 	maxLimitRetryAfter = 2 * time.Second
 )
 
+// notableLimitChange is the relative change of a limit from which it is sent to other
+// daemons.
+const notableLimitChange = 0.1
+
+// LimitReport is the request limit that a searcher named in an answer.
+type LimitReport struct {
+	// Limit is nil if it named none.
+	Limit *rrunit.Rate
+	// At is when the answer was received.
+	At rrunit.Instant
+}
+
 // RecordLimit records the request limit that a searcher named in its answer; nil if it
 // named none.
 func (s *Shard) RecordLimit(now rrunit.Instant, id rrunit.SearcherID, limit *rrunit.Rate) {
 	w := s.findSearcher(id)
-	switch {
-	case w == nil:
-	case limit == nil:
-		w.quota = nil
-	default:
-		w.limit = *limit
-		if w.quota == nil {
-			w.quota = rrbudget.NewQuota(now, s.quotaPhase(w))
+	if w == nil {
+		return
+	}
+	if w.isNotableLimit(limit) {
+		w.limitUnshared = true
+	}
+	s.setLimit(now, w, LimitReport{Limit: limit, At: now})
+}
+
+// TakeLimits calls yield with the limit of each searcher that has named another one, or
+// none any more, to this daemon since the last call.
+func (s *Shard) TakeLimits(yield func(rrunit.SearcherID, LimitReport)) {
+	for _, w := range s.searchers {
+		if !w.limitUnshared {
+			continue
+		}
+		w.limitUnshared = false
+		r := LimitReport{At: w.limitAt}
+		if w.quota != nil {
+			limit := w.limit
+			r.Limit = &limit
 		}
-		w.quota.SetRate(now, w.quotaRate())
+		yield(w.ID, r)
+	}
+}
+
+// MergeLimit records the limit that a searcher named in an answer to another daemon. It is
+// not passed on.
+func (s *Shard) MergeLimit(now rrunit.Instant, id rrunit.SearcherID, r LimitReport) {
+	if w := s.findSearcher(id); w != nil && r.At > w.limitAt {
+		s.setLimit(now, w, r)
+	}
+}
+
+func (s *Shard) setLimit(now rrunit.Instant, w *searcher, r LimitReport) {
+	w.limitAt = r.At
+	if r.Limit == nil {
+		w.quota = nil
+		return
+	}
+	w.limit = *r.Limit
+	if w.quota == nil {
+		w.quota = rrbudget.NewQuota(now, s.quotaPhase(w))
+	}
+	w.quota.SetRate(now, w.quotaRate())
+}
+
+// isNotableLimit reports whether the limit, nil for none, differs much from the one that
+// is known.
+func (w *searcher) isNotableLimit(limit *rrunit.Rate) bool {
+	if limit == nil || w.quota == nil {
+		return limit != nil || w.quota != nil
 	}
+	return math.Abs(float64(*limit-w.limit)) > notableLimitChange*float64(w.limit)
 }
 
 // quotaPhase returns the phase of the searcher's quota.
--- a/internal/policy/rrdispatch/searcher.go
+++ b/internal/policy/rrdispatch/searcher.go
@@ -146,6 +146,11 @@
 	// quota this daemon's share of it; quota is nil while the searcher names none.
 	limit rrunit.Rate
 	quota *rrbudget.Quota
+	// limitAt is when the last answer arrived, here or at a daemon that sent evidence, that
+	// showed whether the searcher names a limit, and limitUnshared is set if it showed a
+	// change that other daemons were not sent yet.
+	limitAt       rrunit.Instant
+	limitUnshared bool
 	// estimator is used where other daemons send to the searcher too.
 	estimator rrestimate.Estimator
 
