Serve urgent work first where limits leave no room

A rank now leaves some tokens to more urgent ones, as it does in the budget for second attempts, and one to each rank that gets less than its floor.

TestUrgentJobsGoFirstUnderLimits fails without (0 of at least 4 a second for the rank below its floor).

--- a/internal/policy/rrbudget/quota.go
+++ b/internal/policy/rrbudget/quota.go
@@ -15,6 +15,8 @@
 	// tokens that all daemons together can hold, however small the share of each, so that
 	// they exceed the rate by little when all use theirs at the same moment.
 	quotaTicks = 20
+	// QuotaExpiry is the time after which an unused token expires.
+	QuotaExpiry = quotaTicks * quotaTick
 	// maxQuotaLookahead is the number of ticks that are looked ahead for tokens.
 	maxQuotaLookahead = 2 * quotaTicks
 )
--- a/internal/policy/rrdispatch/limit.go
+++ b/internal/policy/rrdispatch/limit.go
@@ -107,10 +107,11 @@
 	return w.quota == nil || w.quota.Available(now) > 0
 }
 
-// spendQuota counts an attempt that is sent.
-func (w *searcher) spendQuota(now rrunit.Instant) {
+// spendQuota counts an attempt of the rank that is sent to the searcher.
+func (s *Shard) spendQuota(now rrunit.Instant, rank int, w *searcher) {
 	if w.quota != nil {
 		w.quota.Spend(now)
+		s.ranks[rank].recordLimitedSend(now)
 	}
 }
 
@@ -141,13 +142,55 @@
 	for r := range rank + 1 {
 		ahead += s.queue.Waiting(r)
 	}
+	ahead += s.quotaReserve(now, rank, rate)
 	if rate == 0 || quota > ahead {
 		return 0, false
 	}
+	s.ranks[rank].limitRefusedAt = now
 	wait := time.Duration(float64(ahead+1) / float64(rate) * float64(time.Second))
 	return min(max(wait, minBackoff), maxLimitRetryAfter), true
 }
 
+// quotaReserve returns how many requests jobs of the rank leave to others, given the rate
+// that this daemon may send: some to more urgent ranks, and one to each rank that gets less
+// than its floor. A rank that gets less than its floor itself leaves none. Floors below one
+// request within rrbudget.QuotaExpiry are not kept, as holding back whole requests for them
+// would cost more than they are.
+func (s *Shard) quotaReserve(now rrunit.Instant, rank int, rate rrunit.Rate) int {
+	perExpiry := float64(rate) * rrbudget.QuotaExpiry.Seconds()
+	belowFloor := func(rank int) bool {
+		floor := float64(s.cfg.Ranks[rank].Floor) * perExpiry
+		return floor >= 1 && s.ranks[rank].limitedSends(now) < floor
+	}
+	if belowFloor(rank) {
+		return 0
+	}
+	reserve := int(perExpiry * float64(rank) / float64(2*len(s.ranks)))
+	for other, r := range s.ranks {
+		if other != rank && belowFloor(other) && r.isLimited(now) {
+			reserve++
+		}
+	}
+	return reserve
+}
+
+// isLimited reports whether a job of the rank was refused lately because of request limits.
+func (r *rankState) isLimited(now rrunit.Instant) bool {
+	return r.limitRefusedAt > 0 && now < r.limitRefusedAt.Add(rrbudget.QuotaExpiry)
+}
+
+// recordLimitedSend records an attempt of the rank at a searcher that names a limit.
+func (r *rankState) recordLimitedSend(now rrunit.Instant) {
+	r.limited = r.limitedSends(now) + 1
+	r.limitedAt = now
+}
+
+// limitedSends returns the number of attempts at searchers that name limits within about
+// the last rrbudget.QuotaExpiry, older ones counting less.
+func (r *rankState) limitedSends(now rrunit.Instant) float64 {
+	return r.limited * math.Exp(-now.Sub(r.limitedAt).Seconds()/rrbudget.QuotaExpiry.Seconds())
+}
+
 // Admits reports whether a new job of the rank may be served by any searcher: it returns
 // no reason, or why not and the time after which to try again, zero if unknown.
 func (s *Shard) Admits(now rrunit.Instant, rank int) (rrquery.Reason, time.Duration) {
--- a/internal/policy/rrdispatch/limit_test.go
+++ b/internal/policy/rrdispatch/limit_test.go
@@ -32,7 +32,7 @@
 func newLimitedShard(slots int, ids ...rrunit.SearcherID) *limitedShard {
 	cfg := rrdispatch.Config{
 		QueueLimit: 64, ExtraShare: 0.5, ExtraWindow: rrunit.Duration(10 * time.Second), ExtraSlack: 100, ChargeRefused: true, ServiceTimes: rrestimate.NewServiceTimes(),
-		Ranks: []rrdispatch.Rank{{Name: "urgent"}, {Name: "usual"}}, QuarantineDuration: rrunit.Duration(time.Minute),
+		Ranks: []rrdispatch.Rank{{Name: "urgent", Floor: 0.25}, {Name: "usual", Floor: 0.25}}, QuarantineDuration: rrunit.Duration(time.Minute),
 	}
 	for _, id := range ids {
 		cfg.Searchers = append(cfg.Searchers, rrdispatch.Searcher{ID: id, Slots: slots, RoundTrip: rrunit.Duration(time.Millisecond), LimitShare: 0.5})
@@ -193,3 +193,36 @@
 		}
 	})
 }
+
+// Where the limits leave room for half of the jobs, urgent ones are served, and the others
+// get their floor of what the limits allow even if urgent ones alone exceed it.
+func TestUrgentJobsGoFirstUnderLimits(t *testing.T) {
+	const limit, seconds = 40, 20 // a quota of 20 a second
+	for name, c := range map[string]struct {
+		urgentPerSecond, usualPerSecond int
+		minUrgent, minUsual             float64
+	}{
+		"few urgent jobs":  {10, 30, 0.9 * 10, 0.6 * (limit/2 - 10)},
+		"many urgent jobs": {40, 40, 0.6 * limit / 2, 0.8 * limit / 2 / 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newLimitedShard(8, "a")
+			s.nameLimit("a", limit)
+			served := make([]float64, 2)
+			due := make([]float64, 2)
+			for range seconds * 100 {
+				for rank, perSecond := range []int{c.urgentPerSecond, c.usualPerSecond} {
+					due[rank] += float64(perSecond) / 100
+					for ; due[rank] >= 1; due[rank]-- {
+						if s.offer(rank)[0].Kind == rrdispatch.ActionSend {
+							served[rank] += 1.0 / seconds
+						}
+					}
+				}
+				s.pass(10*time.Millisecond, answered)
+			}
+			must.GreaterEq(t, c.minUrgent, served[0], must.Sprint(served))
+			must.GreaterEq(t, c.minUsual, served[1], must.Sprint(served))
+		})
+	}
+}
--- a/internal/policy/rrdispatch/rank.go
+++ b/internal/policy/rrdispatch/rank.go
@@ -32,6 +32,12 @@
 	// usage is the moving average of running, as of usageAt.
 	usage   float64
 	usageAt rrunit.Instant
+	// limited counts the attempts at searchers that name request limits, as of limitedAt;
+	// older ones count less.
+	limited   float64
+	limitedAt rrunit.Instant
+	// limitRefusedAt is when a job was last refused because of request limits.
+	limitRefusedAt rrunit.Instant
 	// slotTime is the moving average, in nanoseconds, of the time that an attempt holds
 	// its slot.
 	slotTime float64
--- a/internal/policy/rrdispatch/start.go
+++ b/internal/policy/rrdispatch/start.go
@@ -97,7 +97,7 @@
 		alone:       alone,
 	}
 	w.useConnection(now)
-	w.spendQuota(now)
+	s.spendQuota(now, j.Rank, w)
 	s.attempts[a.id] = a
 	w.running = append(w.running, a)
 	w.runsSuspect = suspect
