Play searchers that name a request limit in the soak

Searchers limit their requests for up to 14 s, drawn from a stream of their own, so that the other events of a seed stay as they were.

--- a/internal/soak/rrhistory/check.go
+++ b/internal/soak/rrhistory/check.go
@@ -32,6 +32,7 @@
 	}
 	h.checkMonotonicVersion(requests)
 	h.checkBudget(requests)
+	h.checkLimits(requests)
 	violations := h.violations
 	h.violations = nil
 	return violations
--- a/internal/soak/rrhistory/rrhistory.go
+++ b/internal/soak/rrhistory/rrhistory.go
@@ -38,6 +38,8 @@
 	PromiseMaxAttempts Promise = "attempts"
 	// PromiseBudget: attempts beyond the first stay within the budget.
 	PromiseBudget Promise = "budget"
+	// PromiseLimit: a searcher gets no more than the request limit that it names allows.
+	PromiseLimit Promise = "limit"
 	// PromiseDraining: a draining searcher gets no new work after the bound.
 	PromiseDraining Promise = "leaving"
 	// PromiseConvergence: a version of the table is applied within its bound.
@@ -92,6 +94,12 @@
 	MinCoverage     rrunit.Share
 	TopK            int
 	RecordsPerShard int
+	// RequestLimit is the limit that searchers name, in requests a second. Within
+	// LimitWindow they get at most LimitTolerance times what it allows, plus LimitSlack.
+	RequestLimit   rrunit.Rate
+	LimitWindow    time.Duration
+	LimitTolerance float64
+	LimitSlack     int
 }
 
 // Request is a valid request and how it ended.
@@ -152,7 +160,9 @@
 	drainStarts  map[string]time.Time
 	disturbances map[string][]disturbance
 	starts       map[string][]time.Time
-	violations   []Violation
+	// limits has the times in which a searcher named its request limit.
+	limits     map[string][]disturbance
+	violations []Violation
 }
 
 // New returns an empty history.
@@ -165,6 +175,7 @@
 		drainStarts:  make(map[string]time.Time),
 		disturbances: make(map[string][]disturbance),
 		starts:       make(map[string][]time.Time),
+		limits:       make(map[string][]disturbance),
 	}
 }
 
@@ -183,14 +194,23 @@
 // the store) is disturbed from now until the returned function is called. A
 // planned stop suspends the bounds, but does not excuse lost connections.
 func (h *History) BeginDisturbance(subject string, planned bool) func() {
+	return h.begin(h.disturbances, subject, planned)
+}
+
+// BeginLimit records that a searcher names its request limit from now until the returned
+// function is called.
+func (h *History) BeginLimit(searcher string) func() { return h.begin(h.limits, searcher, false) }
+
+// begin adds a time to those of the subject and returns the function that ends it.
+func (h *History) begin(times map[string][]disturbance, subject string, planned bool) func() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	index := len(h.disturbances[subject])
-	h.disturbances[subject] = append(h.disturbances[subject], disturbance{from: time.Now(), planned: planned})
+	index := len(times[subject])
+	times[subject] = append(times[subject], disturbance{from: time.Now(), planned: planned})
 	return func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.disturbances[subject][index].to = time.Now()
+		times[subject][index].to = time.Now()
 	}
 }
 
--- a/internal/soak/rrhistory/rrhistory_test.go
+++ b/internal/soak/rrhistory/rrhistory_test.go
@@ -18,6 +18,7 @@
 	h := rrhistory.New(rrhistory.Bounds{
 		MaxAttempts: 2, ApplyTime: 20 * time.Millisecond, DrainTime: 20 * time.Millisecond, SettleTime: time.Millisecond, CancelTime: 20 * time.Millisecond,
 		ExtraShare: 0.1, ExtraWindow: time.Second, ExtraSlack: 2, MinCoverage: 0.6, TopK: topK, RecordsPerShard: records,
+		RequestLimit: 10, LimitWindow: time.Second, LimitTolerance: 1.5, LimitSlack: 5,
 	})
 	h.RecordVersionSubmitted(1, []string{"s0", "s1", "s2"})
 	h.RecordVersionAcknowledged()
@@ -149,6 +150,17 @@
 				h.RecordRequest(r)
 			}
 		}},
+		"requests over a named limit":             {rrhistory.PromiseLimit, func(h *rrhistory.History) { recordLimited(h, 21, time.Second) }},
+		"requests within a named limit":           {"", func(h *rrhistory.History) { recordLimited(h, 20, time.Second) }},
+		"requests over a limit named just before": {"", func(h *rrhistory.History) { recordLimited(h, 40, 400*time.Millisecond) }},
+		"requests over a limit that has ended": {"", func(h *rrhistory.History) {
+			h.BeginLimit("one-0")()
+			recordReceived(h, 40, time.Second)
+		}},
+		"requests over a limit after a restart": {"", func(h *rrhistory.History) {
+			_ = h.BeginDisturbance("d", true)
+			recordLimited(h, 40, time.Second)
+		}},
 	} {
 		h := newHistory()
 		c.play(h)
@@ -193,3 +205,26 @@
 		time.Sleep(2 * time.Millisecond)
 	}
 }
+
+// recordLimited records a searcher that begins to name its limit, one request that it
+// completes, and then requests some time later.
+func recordLimited(h *rrhistory.History, n int, after time.Duration) {
+	_ = h.BeginLimit("one-0")
+	recordReceived(h, n, after)
+}
+
+func recordReceived(h *rrhistory.History, n int, after time.Duration) {
+	start := time.Now()
+	for i := range n + 1 {
+		r := single()
+		r.ID, r.AtMostOnce, r.Status, r.Signatures = fmt.Sprint("r", i), false, 502, nil
+		e := standin.RequestEvent{Searcher: "one-0", Service: "one", ID: r.ID, At: start.Add(after), Ran: true}
+		if i == 0 {
+			e.At = start
+		}
+		h.RecordSearcherEvent(e)
+		e.Completed = true
+		h.RecordSearcherEvent(e)
+		h.RecordRequest(r)
+	}
+}
--- a/internal/soak/rrplan/rrplan.go
+++ b/internal/soak/rrplan/rrplan.go
@@ -3,6 +3,7 @@
 package rrplan
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -29,6 +30,8 @@
 	SearcherPause Kind = "searcher-pause"
 	// SearcherDrain drains a searcher and starts a replacement.
 	SearcherDrain Kind = "searcher-leave"
+	// SearcherLimit makes a searcher name a request limit.
+	SearcherLimit Kind = "searcher-limit"
 	// TableChange changes the routes and the layout of shards.
 	TableChange Kind = "table"
 	// TableBurst changes them three times in quick succession.
@@ -117,21 +120,42 @@
 	// minDuration and maxDuration bound the duration of an event.
 	minDuration = 200 * time.Millisecond
 	maxDuration = 4 * time.Second
+	// meanLimitInterval is the mean time between the starts of two limits, which last
+	// limitDuration or until the final quiet time: the bound on requests at a searcher
+	// applies some seconds after it began to limit them.
+	meanLimitInterval = 3 * time.Second
+	limitDuration     = 14 * time.Second
 )
 
+// limitStream is the random stream of the limits. It is apart from that of the other
+// events, which remain the same for a seed.
+const limitStream = 1
+
 // New generates the plan of a run of the given duration.
 func New(seed uint64, duration time.Duration, targets Targets) []Event {
 	r := rand.New(rand.NewPCG(seed, 0))
 	var plan []Event
-	for at := InitialQuietTime; ; {
-		at += time.Duration(r.ExpFloat64() * float64(meanInterval)).Round(time.Millisecond)
-		if at > duration-FinalQuietTime-maxDuration {
-			return plan
-		}
-		e := Event{Number: len(plan) + 1, Start: at, Duration: minDuration + time.Duration(r.Int64N(int64(maxDuration-minDuration))).Round(time.Millisecond)}
-		e.draw(r, targets)
+	add := func(e Event) {
+		e.Number = len(plan) + 1
 		plan = append(plan, e)
 	}
+	last := duration - FinalQuietTime - maxDuration
+	for at := nextStart(r, InitialQuietTime, meanInterval); at <= last; at = nextStart(r, at, meanInterval) {
+		e := Event{Start: at, Duration: minDuration + time.Duration(r.Int64N(int64(maxDuration-minDuration))).Round(time.Millisecond)}
+		e.draw(r, targets)
+		add(e)
+	}
+	r = rand.New(rand.NewPCG(seed, limitStream))
+	for at := nextStart(r, InitialQuietTime, meanLimitInterval); at <= last; at = nextStart(r, at, meanLimitInterval) {
+		add(Event{Start: at, Duration: min(limitDuration, duration-FinalQuietTime-at), Kind: SearcherLimit, Target: pick(r, targets.Searchers)})
+	}
+	slices.SortStableFunc(plan, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
+	return plan
+}
+
+// nextStart draws the start of an event after another.
+func nextStart(r *rand.Rand, at, meanInterval time.Duration) time.Duration {
+	return at + time.Duration(r.ExpFloat64()*float64(meanInterval)).Round(time.Millisecond)
 }
 
 func (e *Event) draw(r *rand.Rand, targets Targets) {
--- a/internal/soak/rrplan/rrplan_test.go
+++ b/internal/soak/rrplan/rrplan_test.go
@@ -17,13 +17,18 @@
 	must.NotEq(t, plan, rrplan.New(8, duration, targets))
 	must.Greater(t, 50, len(plan))
 	kinds := make(map[rrplan.Kind]bool)
+	numbers := make(map[int]bool)
 	for i, e := range plan {
 		kinds[e.Kind] = true
-		must.Eq(t, i+1, e.Number)
+		numbers[e.Number] = true
+		must.Between(t, 1, e.Number, len(plan))
+		must.GreaterEq(t, plan[max(0, i-1)].Start, e.Start)
 		must.NotEq(t, "", e.Target)
 		must.GreaterEq(t, rrplan.InitialQuietTime, e.Start)
 		must.LessEq(t, duration-rrplan.FinalQuietTime, e.Start+e.Duration)
 	}
+	must.Eq(t, len(plan), len(numbers))
+	must.True(t, kinds[rrplan.SearcherLimit])
 	must.Greater(t, 15, len(kinds))
 }
 
--- a/internal/soak/rrsoak/fleet.go
+++ b/internal/soak/rrsoak/fleet.go
@@ -86,6 +86,9 @@
 	minCoverage = 0.6
 	// topK is fewer than the records of two shards, so that merging matters.
 	topK = 4
+	// requestLimit is the limit that searchers name, in requests a second: well below what
+	// one usually gets.
+	requestLimit = 5
 	// slots is how many requests a searcher executes at once: more than the
 	// callers of a small fleet usually send to it together.
 	slots = 8
@@ -95,6 +98,7 @@
 	return rrhistory.Bounds{
 		MaxAttempts: routeAttempts, ApplyTime: applyTime, DrainTime: drainTime, CancelTime: cancelTime, SettleTime: settleTime,
 		ExtraShare: budgetShare, ExtraWindow: budgetWindow, ExtraSlack: budgetSlack, MinCoverage: minCoverage, TopK: topK, RecordsPerShard: 3,
+		RequestLimit: requestLimit, LimitWindow: 4 * time.Second, LimitTolerance: 1.5, LimitSlack: 5,
 	}
 }
 
@@ -117,6 +121,8 @@
 	// a searcher's current process.
 	generation int
 	searcherID string
+	// limitMu is held while a searcher names a request limit.
+	limitMu sync.Mutex
 }
 
 // fleet is the set of processes of a run.
--- a/internal/soak/rrsoak/inject.go
+++ b/internal/soak/rrsoak/inject.go
@@ -33,6 +33,9 @@
 		return f.injectDaemon(e, f.daemons[e.Target])
 	case rrplan.SearcherKill, rrplan.SearcherPause, rrplan.SearcherDrain:
 		return f.injectSearcher(e, f.searchers[e.Target])
+	case rrplan.SearcherLimit:
+		f.injectLimit(e, f.searchers[e.Target])
+		return nil
 	case rrplan.TableChange:
 		return f.putTable()
 	case rrplan.TableBurst:
@@ -122,6 +125,22 @@
 	return f.startSearcher(n)
 }
 
+// injectLimit makes a searcher's process name a request limit. If the process is replaced
+// meanwhile, the new one names none.
+func (f *fleet) injectLimit(e rrplan.Event, n *node) {
+	if !n.limitMu.TryLock() {
+		return
+	}
+	defer n.limitMu.Unlock()
+	n.mu.Lock()
+	proc, id := n.process, n.searcherID
+	n.mu.Unlock()
+	defer f.history.BeginLimit(id)()
+	proc.signal(signalLimit)
+	rrunit.Sleep(f.ctx, e.Duration)
+	proc.signal(signalNoLimit)
+}
+
 func (f *fleet) injectLink(e rrplan.Event) {
 	faults := map[rrplan.Kind]rrproxy.Fault{
 		rrplan.LinkDelay: {Delay: injectedDelay}, rrplan.LinkReset: {Reset: true}, rrplan.LinkBlockTo: {BlockTo: true},
--- a/internal/soak/rrsoak/standins.go
+++ b/internal/soak/rrsoak/standins.go
@@ -1,9 +1,14 @@
 package rrsoak
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -50,6 +55,28 @@
 	return cmd
 }
 
+// The signals by which a searcher begins and ends to name its request limit.
+const (
+	signalLimit   = syscall.SIGUSR1
+	signalNoLimit = syscall.SIGUSR2
+)
+
+// nameLimits makes the searcher name its request limit as the signals say, until ctx ends.
+func nameLimits(ctx context.Context, s *standin.Searcher, signals <-chan os.Signal) {
+	for {
+		select {
+		case got := <-signals:
+			limit := ""
+			if got == signalLimit {
+				limit = strconv.Itoa(requestLimit)
+			}
+			s.SetRequestLimit(limit)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func newSearcherCommand() *cobra.Command {
 	var id, service, address string
 	var serviceTime time.Duration
@@ -60,6 +87,8 @@
 		Hidden: true,
 		Args:   cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			signals := make(chan os.Signal, 1)
+			signal.Notify(signals, signalLimit, signalNoLimit)
 			// A request's line is written before the request is executed, so that
 			// a killed searcher has reported all that it executed.
 			out := json.NewEncoder(cmd.OutOrStdout())
@@ -71,7 +100,7 @@
 					written <- struct{}{}
 				}
 			}()
-			_, err := standin.NewSearcher(id, service, serviceTime, slots, standin.WithAddress(address), standin.WithSlow(slowOneIn, slowServiceTime),
+			s, err := standin.NewSearcher(id, service, serviceTime, slots, standin.WithAddress(address), standin.WithSlow(slowOneIn, slowServiceTime),
 				standin.WithObserver(func(e standin.RequestEvent) {
 					events <- e
 					<-written
@@ -79,7 +108,7 @@
 			if err != nil {
 				return eris.Wrap(err, "starting the searcher")
 			}
-			<-cmd.Context().Done()
+			nameLimits(cmd.Context(), s, signals)
 			return nil
 		},
 	}
