Refuse retries that limits leave no room for in time

Found by reading: a request whose first attempt failed waited for room under the limits of the remaining searchers for up to half of its caller's time, though the wait was known. It is refused at once now if the wait goes beyond its target, or beyond its deadline where it has none; a short wait stays a wait.

TestLimitedRetryDoesNotWaitInVain fails without (no reply, refused and lost alike).

--- a/internal/policy/rrdispatch/finish.go
+++ b/internal/policy/rrdispatch/finish.go
@@ -84,6 +84,7 @@
 func (s *Shard) retry(now rrunit.Instant, j *job, outcome rrupstream.Outcome, freeReset bool) {
 	s.queue.Remove(&j.entry)
 	j.hedgeAt = 0
+	limitWait, isLimited := s.limitWait(now, j.Rank, s.laneOf(j))
 	switch {
 	case now >= j.Deadline:
 		s.reply(j, rrquery.ReasonDeadline, 0)
@@ -93,6 +94,8 @@
 		s.replyUnservable(now, j)
 	case !s.canServe(now, s.laneOf(j)) && !s.startRound(now, j):
 		s.replyUnservable(now, j)
+	case isLimited && now.Add(limitWait) > s.latestUsefulStart(now, j):
+		s.reply(j, rrquery.ReasonLimited, limitWait)
 	case !freeReset && !s.chargeRetry(j, outcome):
 		s.replyUnservable(now, j)
 	default:
@@ -206,12 +209,9 @@
 	if at := s.earliestRetry(now, key); at >= j.Deadline {
 		return rrquery.ReasonNoSearcher, at.Sub(now)
 	}
-	if wait, ok := s.limitWait(now, j.Rank, key); ok {
-		return rrquery.ReasonLimited, wait
-	}
 	if s.isShared() {
 		// The longest wait predicts little where jobs are served by random priority.
-		return rrquery.ReasonNone, 0
+		return s.limitRefusal(now, j.Rank, key)
 	}
 	since, ok := s.queue.OldestOf(s.queueRank(j), key, j.Caller)
 	if ok && now.Add(now.Sub(since)) >= s.latestStart(now, j) {
--- a/internal/policy/rrdispatch/limit.go
+++ b/internal/policy/rrdispatch/limit.go
@@ -146,11 +146,19 @@
 	if rate == 0 || quota > ahead {
 		return 0, false
 	}
-	s.ranks[rank].limitRefusedAt = now
 	wait := time.Duration(float64(ahead+1) / float64(rate) * float64(time.Second))
 	return min(max(wait, minBackoff), maxLimitRetryAfter), true
 }
 
+// latestUsefulStart returns the latest time to send the job so that its answer may meet
+// the target or, without one or after it, the deadline.
+func (s *Shard) latestUsefulStart(now rrunit.Instant, j *job) rrunit.Instant {
+	if j.Target == 0 || j.isPastTarget(now) {
+		return s.latestStart(now, j)
+	}
+	return j.Target
+}
+
 // quotaReserve returns how many requests jobs of the rank leave to others, given the rate
 // that this daemon may send: some to more urgent ranks, and one to each rank that gets less
 // than its floor. A rank that gets less than its floor itself leaves none. Floors below one
@@ -191,14 +199,22 @@
 	return r.limited * math.Exp(-now.Sub(r.limitedAt).Seconds()/rrbudget.QuotaExpiry.Seconds())
 }
 
+// limitRefusal returns whether a new job of the lane is refused because of the request
+// limits, and the time after which to try again.
+func (s *Shard) limitRefusal(now rrunit.Instant, rank int, key laneKey) (rrquery.Reason, time.Duration) {
+	wait, ok := s.limitWait(now, rank, key)
+	if !ok {
+		return rrquery.ReasonNone, 0
+	}
+	s.ranks[rank].limitRefusedAt = now
+	return rrquery.ReasonLimited, wait
+}
+
 // Admits reports whether a new job of the rank may be served by any searcher: it returns
 // no reason, or why not and the time after which to try again, zero if unknown.
 func (s *Shard) Admits(now rrunit.Instant, rank int) (rrquery.Reason, time.Duration) {
 	if !s.canServe(now, laneKey{}) {
 		return rrquery.ReasonNoSearcher, 0
 	}
-	if wait, ok := s.limitWait(now, s.clampRank(rank), laneKey{}); ok {
-		return rrquery.ReasonLimited, wait
-	}
-	return rrquery.ReasonNone, 0
+	return s.limitRefusal(now, s.clampRank(rank), laneKey{})
 }
--- a/internal/policy/rrdispatch/limit_test.go
+++ b/internal/policy/rrdispatch/limit_test.go
@@ -147,6 +147,37 @@
 	must.Between(t, 36, 200-len(s.replies), 42, must.Sprint("10 a second for 4 s"))
 }
 
+// A retry that would wait for longer than its target for room under the limits is refused at
+// once, and one that would not waits.
+func TestLimitedRetryDoesNotWaitInVain(t *testing.T) {
+	for name, c := range map[string]struct {
+		limit   rrunit.Rate
+		outcome rrupstream.Outcome
+		run     rrpeer.RunState
+	}{
+		"refused, little room": {1, rrupstream.OutcomeShed, rrpeer.RunNever},
+		"lost, little room":    {1, rrupstream.OutcomeConnectionLost, rrpeer.RunMaybe},
+		"refused, much room":   {100, rrupstream.OutcomeShed, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newLimitedShard(8, "free", "limited")
+			s.nameLimit("limited", c.limit)
+			actions := s.offer(0)
+			must.Eq(t, "free", actions[0].Searcher)
+			actions = s.record(s.Finish(s.now, actions[0].Attempt, c.outcome))
+			if c.run == "" {
+				must.SliceEmpty(t, actions)
+				s.pass(50*time.Millisecond, answered)
+				must.SliceLen(t, 1, s.sent["limited"])
+				return
+			}
+			must.SliceLen(t, 1, s.replies)
+			must.Eq(t, rrquery.ReasonLimited, s.replies[0].Reason)
+			must.Eq(t, c.run, s.replies[0].Run)
+		})
+	}
+}
+
 // A searcher that names a limit of zero is asked now and then, since only its answers show
 // that the limit has ended.
 func TestLimitOfZeroIsProbed(t *testing.T) {
