Keep a quota's phase over changes of the configuration

Found by reading: the shift between a daemon's own clock and the time of day was the difference of two rounded numbers, so that it changed by a tick at every other change of the configuration, and tokens were issued twice or left out. It is the rounded difference now. TestQuotaPhaseIsStable fails without.

--- a/internal/policy/rrbudget/quota.go
+++ b/internal/policy/rrbudget/quota.go
@@ -43,7 +43,7 @@
 func NewQuotaPhase(index, daemons int, now rrunit.Instant, timeOfDay time.Duration) QuotaPhase {
 	return QuotaPhase{
 		offset:    fractionOf(float64(index) / float64(max(1, daemons))),
-		tickShift: int64(timeOfDay/quotaTick) - tickOf(now),
+		tickShift: int64((timeOfDay - now.Sub(0)) / quotaTick),
 	}
 }
 
--- a/internal/policy/rrbudget/quota_test.go
+++ b/internal/policy/rrbudget/quota_test.go
@@ -94,6 +94,15 @@
 	})
 }
 
+// The phase of a daemon is the same whenever it is determined, as long as its clocks agree.
+func TestQuotaPhaseIsStable(t *testing.T) {
+	want := rrbudget.NewQuotaPhase(3, 9, 0, time.Hour+20*time.Millisecond)
+	for ms := range time.Duration(200) {
+		now := ms * time.Millisecond
+		must.True(t, want == rrbudget.NewQuotaPhase(3, 9, at(now), time.Hour+20*time.Millisecond+now))
+	}
+}
+
 // Unused tokens expire.
 func TestQuotaExpires(t *testing.T) {
 	q := rrbudget.NewQuota(0, rrbudget.QuotaPhase{})
