Keep daemons alive when a change of routes has fewer ranks

Found by reading, next to the limits: a configuration that removes the least urgent rank left that rank with the jobs in flight, as only waiting ones were given a new one. A retry or a second attempt of such a job looked up a rank that was gone, and the panic ended the process. All jobs get a rank of the new configuration now.

TestFewerRanksDuringAnAttempt fails without: index out of range [1] with length 1.

--- a/internal/policy/rrdispatch/limit_test.go
+++ b/internal/policy/rrdispatch/limit_test.go
@@ -19,6 +19,7 @@
 // has half.
 type limitedShard struct {
 	*rrdispatch.Shard
+	cfg     rrdispatch.Config
 	now     rrunit.Instant
 	lastJob rrdispatch.JobID
 	// sent has the instants of the attempts at each searcher, and running the attempts in
@@ -38,7 +39,7 @@
 		cfg.Searchers = append(cfg.Searchers, rrdispatch.Searcher{ID: id, Slots: slots, RoundTrip: rrunit.Duration(time.Millisecond), LimitShare: 0.5})
 	}
 	s := &limitedShard{
-		Shard: rrdispatch.New(cfg), now: second,
+		Shard: rrdispatch.New(cfg), cfg: cfg, now: second,
 		sent: make(map[rrunit.SearcherID][]rrunit.Instant), running: make(map[rrdispatch.AttemptID]rrunit.SearcherID),
 	}
 	s.SetIdleConnections(func(rrunit.SearcherID) int { return 8 })
--- a/internal/policy/rrdispatch/shard.go
+++ b/internal/policy/rrdispatch/shard.go
@@ -113,8 +113,10 @@
 	s.suspects.SetDuration(cfg.QuarantineDuration)
 	s.configureRanks()
 	s.configureSearchers()
-	for _, j := range waiting {
+	for _, j := range s.jobs {
 		j.Rank = s.clampRank(j.Rank)
+	}
+	for _, j := range waiting {
 		j.demoted = false
 		s.enqueue(j, j.attemptsSent > 0)
 	}
