Use one rule for notable changes of a limit

The dispatcher's log and the evidence for the zone each had a copy. A platform without a decoder of limits has none, instead of a panic at the first response. No decision changes.

--- a/internal/adapter/rrconn/rrconn.go
+++ b/internal/adapter/rrconn/rrconn.go
@@ -53,9 +53,13 @@
 type Option func(*Client)
 
 // WithLimitDecoder sets the decoder of the request limits that searchers name. Without
-// it no response has one.
+// it, or if it is nil, no response has one.
 func WithLimitDecoder(decode rrforward.LimitDecoder) Option {
-	return func(c *Client) { c.decodeLimit = decode }
+	return func(c *Client) {
+		if decode != nil {
+			c.decodeLimit = decode
+		}
+	}
 }
 
 // New returns a client for searchers that use the given header fields.
--- a/internal/app/rrdispatchers/limit.go
+++ b/internal/app/rrdispatchers/limit.go
@@ -6,6 +6,7 @@
 
 	"rhubarbreel.example/rhubarbreel/internal/app/rrmetrics"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrdispatch"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrupstream"
 )
 
@@ -22,9 +23,6 @@
 	sent, extra int
 }
 
-// limitLogChange is the relative change of a limit from which it is logged again.
-const limitLogChange = 0.1
-
 // limitOf returns the limit state of the searcher. The caller holds mu.
 func (d *dispatcher) limitOf(id rrunit.SearcherID) *limitState {
 	l := d.limits[id]
@@ -68,7 +66,7 @@
 	d.core.RecordLimit(now, at.searcher, res.RequestLimit)
 	l := d.limitOf(at.searcher)
 	l.limit = res.RequestLimit
-	if !l.isNotable() {
+	if !rrdispatch.IsNotableLimitChange(l.logged, l.limit) {
 		return
 	}
 	rate := float64(l.sent) / max(now.Sub(l.since), time.Millisecond).Seconds()
@@ -78,15 +76,6 @@
 	l.since, l.sent, l.extra = now, 0, 0
 }
 
-// isNotable reports whether the limit has appeared, ended or changed much since it was
-// last logged.
-func (l *limitState) isNotable() bool {
-	if l.limit == nil || l.logged == nil {
-		return l.limit != l.logged
-	}
-	return math.Abs(float64(*l.limit-*l.logged)) > limitLogChange*float64(*l.logged)
-}
-
 // limitText returns the limit for logs.
 func limitText(limit *rrunit.Rate) any {
 	if limit == nil {
--- a/internal/policy/rrdispatch/limit.go
+++ b/internal/policy/rrdispatch/limit.go
@@ -17,12 +17,11 @@
 	// maxLimitRetryAfter bounds the time after which a request that the limits leave no
 	// room for may be tried again, as they can end at any time.
 	maxLimitRetryAfter = 2 * time.Second
+	// notableLimitChange is the relative change of a limit from which it is logged, and sent
+	// to other daemons.
+	notableLimitChange = 0.1
 )
 
-// notableLimitChange is the relative change of a limit from which it is sent to other
-// daemons.
-const notableLimitChange = 0.1
-
 // LimitReport is the request limit that a searcher named in an answer.
 type LimitReport struct {
 	// Limit is nil if it named none.
@@ -38,7 +37,7 @@
 	if w == nil {
 		return
 	}
-	if w.isNotableLimit(limit) {
+	if IsNotableLimitChange(w.namedLimit(), limit) {
 		w.limitUnshared = true
 	}
 	s.setLimit(now, w, LimitReport{Limit: limit, At: now})
@@ -52,12 +51,7 @@
 			continue
 		}
 		w.limitUnshared = false
-		r := LimitReport{At: w.limitAt}
-		if w.quota != nil {
-			limit := w.limit
-			r.Limit = &limit
-		}
-		yield(w.ID, r)
+		yield(w.ID, LimitReport{Limit: w.namedLimit(), At: w.limitAt})
 	}
 }
 
@@ -82,13 +76,22 @@
 	w.quota.SetRate(now, w.quotaRate())
 }
 
-// isNotableLimit reports whether the limit, nil for none, differs much from the one that
-// is known.
-func (w *searcher) isNotableLimit(limit *rrunit.Rate) bool {
-	if limit == nil || w.quota == nil {
-		return limit != nil || w.quota != nil
+// namedLimit returns the limit that the searcher names; nil for none.
+func (w *searcher) namedLimit() *rrunit.Rate {
+	if w.quota == nil {
+		return nil
+	}
+	limit := w.limit
+	return &limit
+}
+
+// IsNotableLimitChange reports whether a limit, nil for none, differs much from an earlier
+// one.
+func IsNotableLimitChange(from, to *rrunit.Rate) bool {
+	if from == nil || to == nil {
+		return from != to
 	}
-	return math.Abs(float64(*limit-w.limit)) > notableLimitChange*float64(w.limit)
+	return math.Abs(float64(*to-*from)) > notableLimitChange*float64(*from)
 }
 
 // quotaPhase returns the phase of the searcher's quota.
--- a/internal/policy/rrdispatch/state.go
+++ b/internal/policy/rrdispatch/state.go
@@ -82,7 +82,11 @@
 }
 
 func (w *searcher) state(now rrunit.Instant) SearcherState {
-	st := SearcherState{
+	quota := 0
+	if w.quota != nil {
+		quota = w.quota.Available(now)
+	}
+	return SearcherState{
 		ID:          w.ID,
 		Health:      string(w.health),
 		Busy:        len(w.running),
@@ -93,10 +97,7 @@
 		Latency:     rrunit.Duration(w.latency),
 		Slowdown:    w.estimator.Slowdown(now),
 		FailureRate: rrunit.Share(w.estimator.FailureRate(now)),
+		Limit:       w.namedLimit(),
+		Quota:       quota,
 	}
-	if w.quota != nil {
-		limit := w.limit
-		st.Limit, st.Quota = &limit, w.quota.Available(now)
-	}
-	return st
 }
