Log connections that are lost, and whether the searcher was found dead

The lines of today could not tell the hypotheses on crashing requests apart: an attempt's outcome stands in 'part failed' alone, and nothing said whether a loss was checked for a crash. No decision changed.

--- a/internal/app/rrdispatchers/dispatcher.go
+++ b/internal/app/rrdispatchers/dispatcher.go
@@ -353,6 +353,8 @@
 	switch at.response.Outcome {
 	case rrupstream.OutcomeConnectionLost:
 		d.checkCrash(at)
+	case rrupstream.OutcomeStaleConnection:
+		d.logLoss(at, crashUnchecked)
 	case rrupstream.OutcomeFailed:
 		d.parent.log.Failure("searcher's answer not usable", "id", at.job.Request.ID, "service", d.name, "searcher", at.searcher, "err", at.response.Err)
 	default:
@@ -393,12 +395,32 @@
 	}
 }
 
+// crashCheck is what the check for a crash found after a connection was lost.
+type crashCheck string
+
+// The results of a crash check.
+const (
+	crashFound     crashCheck = "dead"
+	crashNotFound  crashCheck = "alive"
+	crashUnchecked crashCheck = "unchecked"
+)
+
+// logLoss logs an attempt whose connection was lost. The fingerprint connects the losses of
+// a request at all daemons.
+func (d *dispatcher) logLoss(at *attempt, check crashCheck) {
+	d.parent.metrics.Count(rrmetrics.GroupCrashChecks, string(check))
+	d.parent.log.Failure("connection lost", "id", at.job.Request.ID, "service", d.name, "searcher", at.searcher,
+		"outcome", at.response.Outcome, "searcher-is", check, "isolation", at.isolation, "fingerprint", at.job.Fingerprint)
+}
+
 // checkCrash checks whether the searcher whose connection was lost is dead, and if so
 // reports the crash to the core, which makes the request suspect.
 func (d *dispatcher) checkCrash(at *attempt) {
 	if !d.parent.forwarder.IsDead(d.parent.ctx, at.target) {
+		d.logLoss(at, crashNotFound)
 		return
 	}
+	d.logLoss(at, crashFound)
 	d.step(func(now rrunit.Instant) []rrdispatch.Action {
 		return d.core.RecordCrash(now, at.job.Fingerprint, at.searcher, at.isolation)
 	})
--- a/internal/app/rrmetrics/gateway.go
+++ b/internal/app/rrmetrics/gateway.go
@@ -60,6 +60,9 @@
 	// GroupLimited counts attempts at searchers that named a request limit, by service
 	// and whether the attempt was the first of its request.
 	GroupLimited Group = "limited"
+	// GroupCrashChecks counts attempts whose connection was lost, by what the check of
+	// the searcher found.
+	GroupCrashChecks Group = "losses"
 	// GroupSearcherStatus counts changes of searchers' status.
 	GroupSearcherStatus Group = "beliefs"
 )
@@ -83,7 +86,7 @@
 		latencies: make(map[Group]map[string]*latencyWindow),
 	}
 	for _, g := range []Group{
-		GroupRequests, GroupDegraded, GroupAttempts, GroupExtraAttempts, GroupConnections, GroupPreconnects, GroupStore, GroupPeerCalls, GroupEvidence, GroupUnreadableLoads, GroupLimited, GroupSearcherStatus,
+		GroupRequests, GroupDegraded, GroupAttempts, GroupExtraAttempts, GroupConnections, GroupPreconnects, GroupStore, GroupPeerCalls, GroupEvidence, GroupUnreadableLoads, GroupLimited, GroupCrashChecks, GroupSearcherStatus,
 		GroupPeerBytes, GroupPeerConnections,
 	} {
 		m.groups[g] = new(expvar.Map)
