--- /dev/null
+++ b/internal/test/rrplatform/crash_test.go
@@ -0,0 +1,151 @@
+package rrplatform_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbreel.example/rhubarbreel/platform/standin"
+)
+
+// crashPath is the last part of the path of a request that crashes the searchers that
+// run it.
+const crashPath = "crash"
+
+// crash is one searcher that ended because it began to run a request.
+type crash struct {
+	id string
+	at time.Time
+}
+
+// crashLog records crashes.
+type crashLog struct {
+	mu      sync.Mutex
+	crashes []crash
+}
+
+func (l *crashLog) add(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes = append(l.crashes, crash{id: id, at: time.Now()})
+}
+
+func (l *crashLog) all() []crash {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]crash(nil), l.crashes...)
+}
+
+// requestsAfter returns how many different requests crashed searchers after the instant.
+func (l *crashLog) requestsAfter(at time.Time) int {
+	ids := make(map[string]bool)
+	for _, c := range l.all() {
+		if c.at.After(at) {
+			ids[c.id] = true
+		}
+	}
+	return len(ids)
+}
+
+// crashMode is what the callers of a crashing searcher see of its end.
+type crashMode string
+
+const (
+	// crashCloses closes the connections in the usual way.
+	crashCloses crashMode = "closes"
+	// crashResets resets the connections.
+	crashResets crashMode = "resets"
+)
+
+// crashing makes the searcher end once it begins to run a crashing request, and start
+// again after the time given, as a new process at the same address.
+func (f *fleet) crashing(s *standin.Searcher, zone string, mode crashMode, restart time.Duration, incarnation int, log *crashLog) {
+	s.SetInterceptor(func(_ int, w http.ResponseWriter, r *http.Request) bool {
+		if !strings.HasSuffix(r.RequestURI, crashPath) {
+			return true
+		}
+		log.add(r.Header.Get("X-Attempt-Id"))
+		if mode == crashResets {
+			if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+				if tcp, ok := conn.(*net.TCPConn); ok {
+					_ = tcp.SetLinger(0)
+				}
+				_ = conn.Close()
+			}
+		}
+		s.Close()
+		time.AfterFunc(restart, func() { f.restartSearcher(s, zone, mode, restart, incarnation+1, log) })
+		panic(http.ErrAbortHandler)
+	})
+}
+
+// restartSearcher starts the next process of a searcher, unless the test has ended.
+func (f *fleet) restartSearcher(s *standin.Searcher, zone string, mode crashMode, restart time.Duration, incarnation int, log *crashLog) {
+	if f.t.Context().Err() != nil {
+		return
+	}
+	next, err := standin.NewSearcher(s.ID, s.Service, 2*time.Millisecond, 8, standin.WithAddress(s.Address()))
+	if err != nil {
+		return
+	}
+	f.t.Cleanup(next.Close)
+	f.crashing(next, zone, mode, restart, incarnation, log)
+	f.store.Put("servers", s.ID, standin.EntrySpec(s.Service, next.Address(), zone, standin.StateReady, 8, incarnation))
+}
+
+// A request that crashes searchers, and comes again at any daemon, is sent on long after
+// its third crash, as the daemons take the crashes for closed connections or do not learn of
+// each other's.
+func TestCrashingRequestIsRetriedForever(t *testing.T) {
+	for _, path := range []string{"/all/", "/one/"} {
+		for _, mode := range []crashMode{crashCloses, crashResets} {
+			t.Run(strings.Trim(path, "/")+" "+string(mode), func(t *testing.T) {
+				f := newFleet(t)
+				log := &crashLog{}
+				for range 2 {
+					for _, service := range []string{"s0", "s1", "s2", "one"} {
+						f.addSearcher(service, "a")
+					}
+				}
+				for _, s := range f.searchers {
+					f.crashing(s, "a", mode, 1500*time.Millisecond, 1, log)
+				}
+				var daemons []*daemon
+				var seeds []netip.AddrPort
+				for i, zone := range []string{"a", "b", "a", "b"} {
+					d := f.start(fmt.Sprintf("d%d", i), zone, seeds...)
+					seeds = append(seeds, d.settings.PeerAddress)
+					daemons = append(daemons, d)
+				}
+				var load sync.WaitGroup
+				defer load.Wait()
+				for i, d := range daemons {
+					load.Go(func() {
+						for n := range 500 {
+							d.get(fmt.Sprintf("%sfine-%d-%d", path, i, n))
+							time.Sleep(15 * time.Millisecond)
+						}
+					})
+				}
+				time.Sleep(1500 * time.Millisecond)
+				for start := time.Now(); time.Since(start) < 8*time.Second; time.Sleep(250 * time.Millisecond) {
+					daemons[rand.IntN(len(daemons))].get(path + crashPath)
+				}
+				crashes := log.all()
+				for _, c := range crashes {
+					t.Logf("crash %v id=%s", c.at.Sub(crashes[0].at).Round(time.Millisecond), c.id)
+				}
+				must.Greater(t, 2, len(crashes))
+				must.LessEq(t, 3, log.requestsAfter(crashes[2].at.Add(4*time.Second)))
+			})
+		}
+	}
+}
