Check searchers for a crash however soon their connections end

Callers saw 502 for a request that crashes searchers, and the searchers of its shards ended again and again: it reached them in 5 to 7 requests later than 4 s after the third crash, of 3 allowed.

Cause: a searcher that ends as it begins to run a request resets the connection sooner than any answer could come. Such a loss counts as an idle connection that was closed, which was not checked for a crash, so that the request never became suspect (94 of 94 losses in the log). A loss of either kind is now followed by the check, which asks whether the searcher still listens; a searcher that closed an idle connection does.

TestCrashingRequestIsRetriedForever failed before, and passes: 1 to 3 requests reach searchers.

--- a/internal/app/rrdispatchers/dispatcher.go
+++ b/internal/app/rrdispatchers/dispatcher.go
@@ -349,16 +349,16 @@
 	delete(d.attempts, id)
 	d.mu.Unlock()
 	d.count(at)
-	d.replaceConnection(at.searcher)
 	switch at.response.Outcome {
-	case rrupstream.OutcomeConnectionLost:
+	case rrupstream.OutcomeConnectionLost, rrupstream.OutcomeStaleConnection:
+		// A searcher that ends as it begins to run a request closes the connection as
+		// soon as one that closes an idle connection.
 		d.checkCrash(at)
-	case rrupstream.OutcomeStaleConnection:
-		d.logLoss(at, crashUnchecked)
 	case rrupstream.OutcomeFailed:
 		d.parent.log.Failure("searcher's answer not usable", "id", at.job.Request.ID, "service", d.name, "searcher", at.searcher, "err", at.response.Err)
 	default:
 	}
+	d.replaceConnection(at.searcher)
 }
 
 // recordLoad passes the load that the searcher reported in its response to the core.
@@ -400,9 +400,8 @@
 
 // The results of a crash check.
 const (
-	crashFound     crashCheck = "dead"
-	crashNotFound  crashCheck = "alive"
-	crashUnchecked crashCheck = "unchecked"
+	crashFound    crashCheck = "dead"
+	crashNotFound crashCheck = "alive"
 )
 
 // logLoss logs an attempt whose connection was lost. The fingerprint connects the losses of
--- a/internal/test/rrplatform/crash_test.go
+++ b/internal/test/rrplatform/crash_test.go
@@ -1,6 +1,7 @@
 package rrplatform_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -101,6 +102,25 @@
 	f.store.Put("servers", s.ID, standin.EntrySpec(s.Service, next.Address(), zone, standin.StateReady, 8, incarnation))
 }
 
+// load sends requests of different paths to each daemon until the returned function is
+// called.
+func (f *fleet) load(daemons []*daemon, path string) (stop func()) {
+	var load sync.WaitGroup
+	ctx, cancel := context.WithCancel(f.t.Context())
+	for i, d := range daemons {
+		load.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				d.get(fmt.Sprintf("%sfine-%d-%d", path, i, n))
+				time.Sleep(15 * time.Millisecond)
+			}
+		})
+	}
+	return func() {
+		cancel()
+		load.Wait()
+	}
+}
+
 // A request that crashes searchers, and comes again at any daemon, is sent on long after
 // its third crash, as the daemons take the crashes for closed connections or do not learn of
 // each other's.
@@ -108,6 +128,7 @@
 	for _, path := range []string{"/all/", "/one/"} {
 		for _, mode := range []crashMode{crashCloses, crashResets} {
 			t.Run(strings.Trim(path, "/")+" "+string(mode), func(t *testing.T) {
+				t.Parallel()
 				f := newFleet(t)
 				log := &crashLog{}
 				for range 2 {
@@ -125,20 +146,12 @@
 					seeds = append(seeds, d.settings.PeerAddress)
 					daemons = append(daemons, d)
 				}
-				var load sync.WaitGroup
-				defer load.Wait()
-				for i, d := range daemons {
-					load.Go(func() {
-						for n := range 500 {
-							d.get(fmt.Sprintf("%sfine-%d-%d", path, i, n))
-							time.Sleep(15 * time.Millisecond)
-						}
-					})
-				}
+				stopLoad := f.load(daemons, path)
 				time.Sleep(1500 * time.Millisecond)
 				for start := time.Now(); time.Since(start) < 8*time.Second; time.Sleep(250 * time.Millisecond) {
 					daemons[rand.IntN(len(daemons))].get(path + crashPath)
 				}
+				stopLoad()
 				crashes := log.all()
 				for _, c := range crashes {
 					t.Logf("crash %v id=%s", c.at.Sub(crashes[0].at).Round(time.Millisecond), c.id)
