Hold the retry of a lost request until its searcher is checked for a crash

A request that crashes searchers ended two more searchers of each shard than it had to: its retry left in the moment of the loss, the check of the searcher took a round trip longer. So the second loss proved nothing, and a verdict needed a second visit to the same daemon.

The end of an attempt whose connection was lost now waits for the check, 50 ms at most, and the crash is recorded before the retry is placed: the retry runs alone, and its loss is a verdict. The check costs nothing where another connection to the searcher is idle, and one connection attempt otherwise.

TestRetryLeavesBeforeTheCrashIsFound failed before (3 and 4 crashes, 2 expected); it ends 2 now, and the crashing request of TestCrashingRequestIsRetriedForever ends 2 searchers a service in one request instead of up to 4 in three.

--- /dev/null
+++ b/internal/app/rrdispatchers/crash.go
@@ -0,0 +1,87 @@
+package rrdispatchers
+
+import (
+	"time"
+
+	"rhubarbreel.example/rhubarbreel/internal/app/rrmetrics"
+	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrdispatch"
+	"rhubarbreel.example/rhubarbreel/internal/port/rrupstream"
+)
+
+// maxCrashWait is how long the end of an attempt waits for the check of its searcher. A
+// retry that left before would crash another searcher without proving anything.
+const maxCrashWait = 50 * time.Millisecond
+
+// searcherCheck is what the check of a searcher whose connection was lost found.
+type searcherCheck string
+
+// The results of a check.
+const (
+	searcherDead  searcherCheck = "dead"
+	searcherAlive searcherCheck = "alive"
+)
+
+// crashCheck checks whether a searcher whose connection was lost is dead. A searcher that
+// ends as it begins to run a request closes the connection as soon as one that closes an
+// idle connection, so that only a check can tell.
+type crashCheck struct {
+	done chan struct{}
+	// dead is set before done is closed.
+	dead bool
+}
+
+// checkLoss starts a check of the attempt's searcher if its connection was lost, and waits
+// at most maxCrashWait for the result. It returns nil if there is nothing to check.
+func (d *dispatcher) checkLoss(at *attempt) *crashCheck {
+	if !at.response.Outcome.IsConnectionEnd() {
+		return nil
+	}
+	c := &crashCheck{done: make(chan struct{})}
+	d.parent.pool.run(func() {
+		defer close(c.done)
+		c.dead = d.parent.forwarder.IsDead(d.parent.ctx, at.target)
+	})
+	timer := time.NewTimer(maxCrashWait)
+	defer timer.Stop()
+	select {
+	case <-c.done:
+	case <-timer.C:
+	}
+	if c.isDead() {
+		at.response.Outcome = rrupstream.OutcomeConnectionLost
+	}
+	return c
+}
+
+// isDead reports whether the searcher was found dead so far.
+func (c *crashCheck) isDead() bool {
+	if c == nil {
+		return false
+	}
+	select {
+	case <-c.done:
+		return c.dead
+	default:
+		return false
+	}
+}
+
+// finishCheck waits for the result of the check, logs it, and reports a crash to the core
+// unless that was done before. The fingerprint connects the losses of a request at all
+// daemons.
+func (d *dispatcher) finishCheck(at *attempt, c *crashCheck, reported bool) {
+	<-c.done
+	found := searcherAlive
+	if c.dead {
+		found = searcherDead
+	}
+	d.parent.metrics.Count(rrmetrics.GroupCrashChecks, string(found))
+	d.parent.log.Failure("connection lost", "id", at.job.Request.ID, "service", d.name, "searcher", at.searcher,
+		"outcome", at.response.Outcome, "searcher-is", found, "isolation", at.isolation, "fingerprint", at.job.Fingerprint)
+	if c.dead && !reported {
+		d.step(func(now rrunit.Instant) []rrdispatch.Action {
+			return d.core.RecordCrash(now, at.job.Fingerprint, at.searcher, at.isolation)
+		})
+	}
+}
--- a/internal/app/rrdispatchers/dispatcher.go
+++ b/internal/app/rrdispatchers/dispatcher.go
@@ -316,51 +316,61 @@
 }
 
 func (d *dispatcher) finish(id rrdispatch.AttemptID, at *attempt) {
+	check := d.checkLoss(at)
+	isDead := check.isDead()
 	d.step(func(now rrunit.Instant) []rrdispatch.Action {
-		j, res := at.job, &at.response
-		j.active--
-		if d.jobs[j.id] == j {
-			t := &j.trace[at.traceIndex]
-			t.Took, t.Outcome = now.Sub(j.offered)-t.Start, res.Outcome
+		var actions []rrdispatch.Action
+		if isDead {
+			// The request becomes suspect before its retry is placed.
+			actions = d.core.RecordCrash(now, at.job.Fingerprint, at.searcher, at.isolation)
 		}
-		if !res.Outcome.NotRun() {
-			j.mayHaveRun = true
-		}
-		if res.Outcome == rrupstream.OutcomeFailed && res.Signature != "" {
-			j.failure, j.failureSearcher = res, at.searcher
-		}
-		if took := now.Sub(j.offered) - j.trace[at.traceIndex].Start; res.Outcome == rrupstream.OutcomeAnswered {
-			d.parent.metrics.RecordLatency(rrmetrics.GroupAttemptTime, string(d.zones[at.searcher]), took)
-			d.parent.roundTrips.Record(now, d.zones[at.searcher], took, res.NewConnection)
-		}
-		d.updateRoundTrips(now)
-		d.core.RecordConnection(id, res.NewConnection)
-		if res.NewConnection && res.Outcome == rrupstream.OutcomeStaleConnection {
-			d.backOff(now, at.searcher)
-		}
-		// The core may resend this request elsewhere, and send another over the
-		// connection that is now idle.
-		d.core.SetIdleConnections(d.idle)
-		d.recordLoad(now, at)
-		d.recordLimit(now, at)
-		return d.core.Finish(now, id, res.Outcome)
+		return append(actions, d.finishAttempt(now, id, at)...)
 	})
 	d.mu.Lock()
 	delete(d.attempts, id)
 	d.mu.Unlock()
 	d.count(at)
-	switch at.response.Outcome {
-	case rrupstream.OutcomeConnectionLost, rrupstream.OutcomeStaleConnection:
-		// A searcher that ends as it begins to run a request closes the connection as
-		// soon as one that closes an idle connection.
-		d.checkCrash(at)
-	case rrupstream.OutcomeFailed:
+	if at.response.Outcome == rrupstream.OutcomeFailed {
 		d.parent.log.Failure("searcher's answer not usable", "id", at.job.Request.ID, "service", d.name, "searcher", at.searcher, "err", at.response.Err)
-	default:
+	}
+	if check != nil {
+		d.finishCheck(at, check, isDead)
 	}
 	d.replaceConnection(at.searcher)
 }
 
+// finishAttempt updates the job and the core with the end of the attempt. The caller holds
+// mu.
+func (d *dispatcher) finishAttempt(now rrunit.Instant, id rrdispatch.AttemptID, at *attempt) []rrdispatch.Action {
+	j, res := at.job, &at.response
+	j.active--
+	if d.jobs[j.id] == j {
+		t := &j.trace[at.traceIndex]
+		t.Took, t.Outcome = now.Sub(j.offered)-t.Start, res.Outcome
+	}
+	if !res.Outcome.NotRun() {
+		j.mayHaveRun = true
+	}
+	if res.Outcome == rrupstream.OutcomeFailed && res.Signature != "" {
+		j.failure, j.failureSearcher = res, at.searcher
+	}
+	if took := now.Sub(j.offered) - j.trace[at.traceIndex].Start; res.Outcome == rrupstream.OutcomeAnswered {
+		d.parent.metrics.RecordLatency(rrmetrics.GroupAttemptTime, string(d.zones[at.searcher]), took)
+		d.parent.roundTrips.Record(now, d.zones[at.searcher], took, res.NewConnection)
+	}
+	d.updateRoundTrips(now)
+	d.core.RecordConnection(id, res.NewConnection)
+	if res.NewConnection && res.Outcome == rrupstream.OutcomeStaleConnection {
+		d.backOff(now, at.searcher)
+	}
+	// The core may resend this request elsewhere, and send another over the
+	// connection that is now idle.
+	d.core.SetIdleConnections(d.idle)
+	d.recordLoad(now, at)
+	d.recordLimit(now, at)
+	return d.core.Finish(now, id, res.Outcome)
+}
+
 // recordLoad passes the load that the searcher reported in its response to the core.
 // The caller holds mu.
 func (d *dispatcher) recordLoad(now rrunit.Instant, at *attempt) {
@@ -395,36 +405,6 @@
 	}
 }
 
-// crashCheck is what the check for a crash found after a connection was lost.
-type crashCheck string
-
-// The results of a crash check.
-const (
-	crashFound    crashCheck = "dead"
-	crashNotFound crashCheck = "alive"
-)
-
-// logLoss logs an attempt whose connection was lost. The fingerprint connects the losses of
-// a request at all daemons.
-func (d *dispatcher) logLoss(at *attempt, check crashCheck) {
-	d.parent.metrics.Count(rrmetrics.GroupCrashChecks, string(check))
-	d.parent.log.Failure("connection lost", "id", at.job.Request.ID, "service", d.name, "searcher", at.searcher,
-		"outcome", at.response.Outcome, "searcher-is", check, "isolation", at.isolation, "fingerprint", at.job.Fingerprint)
-}
-
-// checkCrash checks whether the searcher whose connection was lost is dead, and if so
-// reports the crash to the core, which makes the request suspect.
-func (d *dispatcher) checkCrash(at *attempt) {
-	if !d.parent.forwarder.IsDead(d.parent.ctx, at.target) {
-		d.logLoss(at, crashNotFound)
-		return
-	}
-	d.logLoss(at, crashFound)
-	d.step(func(now rrunit.Instant) []rrdispatch.Action {
-		return d.core.RecordCrash(now, at.job.Fingerprint, at.searcher, at.isolation)
-	})
-}
-
 // updateRoundTrips passes the measured round-trip times to the core, at most once per
 // roundTripsInterval.
 func (d *dispatcher) updateRoundTrips(now rrunit.Instant) {
--- a/internal/port/rrupstream/rrupstream.go
+++ b/internal/port/rrupstream/rrupstream.go
@@ -68,6 +68,11 @@
 	OutcomeCancelled Outcome = "cancelled"
 )
 
+// IsConnectionEnd reports whether the connection ended before any reply was received.
+func (o Outcome) IsConnectionEnd() bool {
+	return o == OutcomeConnectionLost || o == OutcomeStaleConnection
+}
+
 // NotRun reports whether the outcome implies that the searcher did not run the
 // work.
 func (o Outcome) NotRun() bool {
