Pass quarantines on for as long as they hold

By reading: a daemon passed a quarantine on for 5 s after it had learned of it, so that a daemon that starts later need not be told. TestRestartForgetsQuarantines passed all the same, as daemons that had dropped it learned it again from each other; nothing made sure of that. Now it is passed on until it ends, and where there are more than fit into a message, all daemons keep the same ones.

--- a/internal/app/rrfollow/peers.go
+++ b/internal/app/rrfollow/peers.go
@@ -88,7 +88,7 @@
 		Tables:      f.tables.Revision(),
 		Searchers:   f.searchers.Revision(),
 		Instances:   f.instances.Revision(),
-		Quarantines: f.recentQuarantines(nil),
+		Quarantines: f.activeQuarantines(nil),
 	}, f.changed
 }
 
@@ -127,7 +127,7 @@
 	defer f.mu.Unlock()
 	age, known := f.core.DataAge(f.clock())
 	response := &rrpeer.FeedResponse{Confirmed: known, Age: rrpeer.NewAge(age), Changes: f.changesSince(request)}
-	response.Quarantines = f.recentQuarantines(request.Quarantines)
+	response.Quarantines = f.activeQuarantines(request.Quarantines)
 	return response, f.changed, response.Changes != nil && response.Changes.HasEntries() || len(response.Quarantines) > 0
 }
 
--- a/internal/app/rrfollow/quarantine.go
+++ b/internal/app/rrfollow/quarantine.go
@@ -1,23 +1,17 @@
 package rrfollow
 
 import (
+	"cmp"
 	"slices"
-	"time"
 
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrpeer"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 )
 
-// quarantineRelayTime is how long a quarantine is passed on: long enough for two
-// requests in a row to be lost on each of the two hops to any other daemon.
-const quarantineRelayTime = 5 * time.Second
-
 // quarantine is a request that was found to crash searchers.
 type quarantine struct {
 	fingerprint rrunit.Fingerprint
 	until       rrunit.Instant
-	// addedAt is when this daemon decided on it or received it.
-	addedAt rrunit.Instant
 }
 
 // AnnounceQuarantine passes a quarantine that this daemon decided on to the other daemons.
@@ -28,17 +22,20 @@
 }
 
 // addQuarantine adds a quarantine to those that are passed on and reports whether it
-// is new. The caller holds mu.
+// is new. Above rrpeer.MaxDigestQuarantines all daemons keep the same ones, those of the
+// least fingerprints, so that they don't send each other the rest again and again. The
+// caller holds mu.
 func (f *Follower) addQuarantine(q rrpeer.Quarantine) bool {
 	now := f.clock()
-	f.quarantines = slices.DeleteFunc(f.quarantines, func(known quarantine) bool { return now.Sub(known.addedAt) > quarantineRelayTime })
-	if slices.ContainsFunc(f.quarantines, func(known quarantine) bool { return known.fingerprint == q.Fingerprint }) {
+	f.quarantines = slices.DeleteFunc(f.quarantines, func(known quarantine) bool { return known.until <= now })
+	i, known := slices.BinarySearchFunc(f.quarantines, q.Fingerprint, func(known quarantine, of rrunit.Fingerprint) int {
+		return cmp.Compare(known.fingerprint, of)
+	})
+	if known || i >= rrpeer.MaxDigestQuarantines {
 		return false
 	}
-	if len(f.quarantines) >= rrpeer.MaxDigestQuarantines {
-		f.quarantines = f.quarantines[1:]
-	}
-	f.quarantines = append(f.quarantines, quarantine{fingerprint: q.Fingerprint, until: now.Add(q.TimeLeft.Std()), addedAt: now})
+	f.quarantines = slices.Insert(f.quarantines, i, quarantine{fingerprint: q.Fingerprint, until: now.Add(q.TimeLeft.Std())})
+	f.quarantines = f.quarantines[:min(len(f.quarantines), rrpeer.MaxDigestQuarantines)]
 	f.notifyWaiters()
 	return true
 }
@@ -56,14 +53,14 @@
 	}
 }
 
-// recentQuarantines returns the quarantines to pass on, without those that the
-// requester has. The caller holds mu.
-func (f *Follower) recentQuarantines(known []rrpeer.Quarantine) []rrpeer.Quarantine {
+// activeQuarantines returns the active quarantines, without those that the requester has.
+// The caller holds mu.
+func (f *Follower) activeQuarantines(known []rrpeer.Quarantine) []rrpeer.Quarantine {
 	now := f.clock()
 	var out []rrpeer.Quarantine
 	for _, entry := range f.quarantines {
 		isKnown := slices.ContainsFunc(known, func(q rrpeer.Quarantine) bool { return q.Fingerprint == entry.fingerprint })
-		if left := entry.until.Sub(now); left > 0 && !isKnown && now.Sub(entry.addedAt) <= quarantineRelayTime {
+		if left := entry.until.Sub(now); left > 0 && !isKnown {
 			out = append(out, rrpeer.Quarantine{Fingerprint: entry.fingerprint, TimeLeft: rrunit.Duration(left)})
 		}
 	}
--- a/internal/app/rrfollow/rrfollow.go
+++ b/internal/app/rrfollow/rrfollow.go
@@ -75,7 +75,8 @@
 	changed chan struct{}
 	// graceTimer publishes a new catalog when the grace period of an expired entry ends.
 	graceTimer *time.Timer
-	// quarantines are the recent ones, which are passed on.
+	// quarantines are those that this daemon passes on, by fingerprint; expired ones are
+	// dropped with the next. There are at most rrpeer.MaxDigestQuarantines.
 	quarantines []quarantine
 	// lastStoreFailure is when a call to the store last failed; zero is never.
 	lastStoreFailure rrunit.Instant
--- a/internal/domain/rrpeer/feed.go
+++ b/internal/domain/rrpeer/feed.go
@@ -18,7 +18,7 @@
 	Tables    rrcatalog.Revision `json:"tables"`
 	Searchers rrcatalog.Revision `json:"searchers"`
 	Instances rrcatalog.Revision `json:"instances"`
-	// Quarantines are the recent quarantines that the requester has.
+	// Quarantines are the active quarantines that the requester knows.
 	Quarantines []Quarantine `json:"quarantines,omitempty"`
 	// Wait is how long to wait for changes.
 	Wait rrunit.Duration `json:"wait"`
@@ -49,7 +49,7 @@
 	// Changes is nil if there are none. The transport encodes and compresses them
 	// itself.
 	Changes *FeedChanges `json:"-"`
-	// Quarantines are the recent quarantines that the requester does not have.
+	// Quarantines are the active quarantines that the requester does not have.
 	Quarantines []Quarantine `json:"quarantines,omitempty"`
 }
 
--- a/internal/test/rrplatform/crash_test.go
+++ b/internal/test/rrplatform/crash_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -190,3 +191,60 @@
 		})
 	}
 }
+
+// crashingFleet returns a fleet whose searchers of the service "one" end when they begin to
+// run a crashing request, and the log of these crashes.
+func crashingFleet(t *testing.T) (*fleet, *crashLog) {
+	t.Helper()
+	f := newFleet(t)
+	log := &crashLog{}
+	for range 4 {
+		f.addSearcher("one", "a")
+	}
+	for _, s := range f.searchersOf("one") {
+		f.crashing(s, "a", crashCloses, 500*time.Millisecond, 1, log)
+	}
+	return f, log
+}
+
+// quarantineAt sends a crashing request to the daemon until it is quarantined there.
+func (f *fleet) quarantineAt(d *daemon) {
+	f.t.Helper()
+	f.eventually("request is quarantined", func() bool {
+		d.get("/one/" + crashPath)
+		time.Sleep(200 * time.Millisecond)
+		return strings.Contains(d.logs.String(), "request quarantined")
+	})
+}
+
+func (d *daemon) isReader() bool { return strings.Contains(d.logs.String(), "cause=reader") }
+
+// A daemon that starts some seconds after a request was quarantined is not told of it, and
+// lets the request crash searchers again.
+func TestRestartForgetsQuarantines(t *testing.T) {
+	f, log := crashingFleet(t)
+	var daemons []*daemon
+	var seeds []netip.AddrPort
+	for i, zone := range []string{"a", "b", "a", "b"} {
+		daemons = append(daemons, f.start(fmt.Sprintf("d%d", i), zone, seeds...))
+		seeds = append(seeds, daemons[i].settings.PeerAddress)
+	}
+	f.eventually("two daemons read the store", func() bool {
+		return len(slices.DeleteFunc(slices.Clone(daemons), func(d *daemon) bool { return !d.isReader() })) == 2
+	})
+	f.quarantineAt(daemons[0])
+	time.Sleep(6 * time.Second)
+	i := slices.IndexFunc(daemons, func(d *daemon) bool { return !d.isReader() })
+	daemons[i].stop()
+	must.NoError(t, <-daemons[i].done)
+	daemons[i].done <- nil // read by the cleanup
+	before := len(log.all())
+
+	again := f.newDaemon(string(daemons[i].settings.Instance), string(daemons[i].settings.Zone), seeds...)
+	again.settings = daemons[i].settings
+	f.run(again)
+	f.eventually("daemon serves", func() bool { return again.get("/one/").status == http.StatusOK })
+	time.Sleep(time.Second)
+	must.Eq(t, http.StatusServiceUnavailable, again.get("/one/"+crashPath).status)
+	must.Eq(t, before, len(log.all()))
+}
