Tell the daemons that read the store of quarantines

A request that one daemon had found to crash searchers crashed more of them through others. Daemons that read the store, the first of each region, follow nobody, so that a verdict reached another reader only if some daemon happened to follow both; where each region has one daemon, or the followers are away, never.

A reader that knows of active quarantines now exchanges them with the other readers twice a second, over the feed's own call. TestReadersDoNotLearnOfQuarantines failed before: the second of two daemons sent the request on and lost two searchers.

--- a/internal/app/rrfollow/quarantine.go
+++ b/internal/app/rrfollow/quarantine.go
@@ -2,12 +2,25 @@
 
 import (
 	"cmp"
+	"context"
+	"net/netip"
 	"slices"
+	"sync"
+	"time"
 
+	"rhubarbreel.example/rhubarbreel/internal/app/rrmetrics"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrpeer"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 )
 
+const (
+	// readerTellInterval is how often a reader tells the other readers of active
+	// quarantines.
+	readerTellInterval = 500 * time.Millisecond
+	// readerTellTimeout bounds one such call.
+	readerTellTimeout = 300 * time.Millisecond
+)
+
 // quarantine is a request that was found to crash searchers.
 type quarantine struct {
 	fingerprint rrunit.Fingerprint
@@ -66,3 +79,35 @@
 	}
 	return out
 }
+
+// tellReaders exchanges active quarantines with the other readers while this daemon is a
+// reader, until ctx ends. Followers get them with what they follow, but readers follow
+// nobody.
+func (f *Follower) tellReaders(ctx context.Context) {
+	for rrunit.Sleep(ctx, readerTellInterval) {
+		f.mu.Lock()
+		readers := f.core.OtherReaders()
+		f.mu.Unlock()
+		request, _ := f.feedRequest()
+		if len(request.Quarantines) == 0 {
+			continue
+		}
+		var calls sync.WaitGroup
+		for _, reader := range readers {
+			calls.Go(func() { f.tellReader(ctx, reader.PeerAddress, request) })
+		}
+		calls.Wait()
+	}
+}
+
+func (f *Follower) tellReader(ctx context.Context, reader netip.AddrPort, request *rrpeer.FeedRequest) {
+	ctx, cancel := context.WithTimeout(ctx, readerTellTimeout)
+	defer cancel()
+	response, err := f.cfg.Feeds.Follow(ctx, reader, request)
+	f.cfg.Metrics.Count(rrmetrics.GroupPeerCalls, outcomeLabel(err))
+	if err != nil {
+		f.cfg.Log.Failure("quarantines not told", "peer", reader, "err", err)
+		return
+	}
+	f.addPeerQuarantines(response.Quarantines)
+}
--- a/internal/app/rrfollow/rrfollow.go
+++ b/internal/app/rrfollow/rrfollow.go
@@ -115,6 +115,7 @@
 	defer group.Wait()
 	defer f.graceTimer.Stop()
 	group.Go(func() { f.sendEvidence(ctx) })
+	group.Go(func() { f.tellReaders(ctx) })
 	if f.cfg.ColdStart {
 		group.Go(func() { f.register(ctx) })
 		group.Go(func() { f.listInstances(ctx) })
--- a/internal/policy/rrsource/rrsource.go
+++ b/internal/policy/rrsource/rrsource.go
@@ -245,6 +245,15 @@
 	return p
 }
 
+// OtherReaders returns the other readers if this daemon is one. Readers follow nobody, so
+// that what daemons find out themselves has to be sent to them.
+func (c *Selector) OtherReaders() []rrcatalog.Instance {
+	if !c.isReader() {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(c.readers), func(i rrcatalog.Instance) bool { return i.ID == c.cfg.Self.ID })
+}
+
 func (c *Selector) isFresh(now rrunit.Instant) bool {
 	age, known := c.DataAge(now)
 	return known && age < c.cfg.StaleAfter
--- a/internal/test/rrplatform/crash_test.go
+++ b/internal/test/rrplatform/crash_test.go
@@ -248,3 +248,16 @@
 	must.Eq(t, http.StatusServiceUnavailable, again.get("/one/"+crashPath).status)
 	must.Eq(t, before, len(log.all()))
 }
+
+// Daemons that read the store follow nobody, so that a quarantine reaches them only if
+// another daemon happens to follow both.
+func TestReadersDoNotLearnOfQuarantines(t *testing.T) {
+	f, log := crashingFleet(t)
+	daemons := []*daemon{f.start("d1", "a"), f.start("d2", "b")}
+	f.eventually("both daemons read the store", func() bool { return daemons[0].isReader() && daemons[1].isReader() })
+	f.quarantineAt(daemons[0])
+	time.Sleep(2 * time.Second)
+	before := len(log.all())
+	must.Eq(t, http.StatusServiceUnavailable, daemons[1].get("/one/"+crashPath).status)
+	must.Eq(t, before, len(log.all()))
+}
