Let all daemons suspect a request that has crashed searchers at one

A request that may not be repeated crashed one searcher at each daemon that it came to: 12 of 12 in TestSuspicionStaysWithOneDaemon, 4 of them later than 4 s after the third crash, of 3 allowed.

Cause: a verdict needs a second loss while the request is suspect, and suspicion stayed with the daemon that had the first. Callers return at any daemon. Daemons now tell each other of searchers that they found dead after a request that nobody has answered for 250 ms since, with the feed that carries quarantines; most requests that were lost with a searcher are answered by another one sooner, and are not told.

A daemon of the old build ignores the new field, as its decoder ignores unknown ones.

--- a/internal/app/rrdispatchers/crash.go
+++ b/internal/app/rrdispatchers/crash.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rhubarbreel.example/rhubarbreel/internal/app/rrmetrics"
+	"rhubarbreel.example/rhubarbreel/internal/domain/rrpeer"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrdispatch"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrupstream"
@@ -85,3 +86,30 @@
 		})
 	}
 }
+
+// TakeCrashes returns, once each, the crashes after which nobody has answered the request.
+func (p *Dispatchers) TakeCrashes() []rrpeer.CrashedRun {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	var out []rrpeer.CrashedRun
+	for name, d := range p.dispatchers {
+		d.mu.Lock()
+		d.core.TakeCrashes(p.clock(), func(f rrunit.Fingerprint, id rrunit.SearcherID) {
+			out = append(out, rrpeer.CrashedRun{Fingerprint: f, Service: name, Searcher: id})
+		})
+		d.mu.Unlock()
+	}
+	return out
+}
+
+// AddPeerCrash makes a request suspect after whose run another daemon found a searcher dead.
+func (p *Dispatchers) AddPeerCrash(c rrpeer.CrashedRun) {
+	p.log.StateChange("request suspected", "service", c.Service, "searcher", c.Searcher, "fingerprint", c.Fingerprint)
+	d := p.dispatcher(c.Service)
+	if d == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.MergeCrash(p.clock(), c.Fingerprint, c.Searcher)
+}
--- a/internal/app/rrfollow/evidence.go
+++ b/internal/app/rrfollow/evidence.go
@@ -27,6 +27,7 @@
 func (f *Follower) sendEvidence(ctx context.Context) {
 	retryAt := make(map[netip.AddrPort]rrunit.Instant)
 	for rrunit.Sleep(ctx, evidenceInterval) {
+		f.takeCrashes()
 		met := f.cfg.TakeEvidence()
 		if len(met) == 0 {
 			continue
--- /dev/null
+++ b/internal/app/rrfollow/notices.go
@@ -0,0 +1,44 @@
+package rrfollow
+
+import (
+	"slices"
+
+	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
+)
+
+// notices are what the daemons find out themselves and pass on to each other for some time.
+type notices[K any] struct {
+	compare func(a, b K) int
+	// limit is how many are kept. All daemons keep the first ones by key, so that they
+	// don't send each other the rest again and again.
+	limit int
+	// entries are in the order of their keys.
+	entries []notice[K]
+}
+
+// notice is one of notices, passed on until its end.
+type notice[K any] struct {
+	key   K
+	until rrunit.Instant
+}
+
+// add adds a notice and reports whether it is new.
+func (n *notices[K]) add(now rrunit.Instant, key K, left rrunit.Duration) bool {
+	n.entries = slices.DeleteFunc(n.entries, func(e notice[K]) bool { return e.until <= now })
+	i, known := slices.BinarySearchFunc(n.entries, key, func(e notice[K], key K) int { return n.compare(e.key, key) })
+	if known || i >= n.limit {
+		return false
+	}
+	n.entries = slices.Insert(n.entries, i, notice[K]{key: key, until: now.Add(left.Std())})
+	n.entries = n.entries[:min(len(n.entries), n.limit)]
+	return true
+}
+
+// active calls f with the notices that have not ended and that isKnown does not exclude.
+func (n *notices[K]) active(now rrunit.Instant, isKnown func(K) bool, f func(key K, left rrunit.Duration)) {
+	for _, e := range n.entries {
+		if left := e.until.Sub(now); left > 0 && !isKnown(e.key) {
+			f(e.key, rrunit.Duration(left))
+		}
+	}
+}
--- a/internal/app/rrfollow/peers.go
+++ b/internal/app/rrfollow/peers.go
@@ -56,7 +56,7 @@
 	}
 	response, err := f.cfg.Feeds.Follow(callCtx, source.Address, request)
 	if err == nil {
-		f.addPeerQuarantines(response.Quarantines)
+		f.addPeerFindings(response.Quarantines, response.Crashes)
 	}
 	f.cfg.Metrics.Count(rrmetrics.GroupPeerCalls, outcomeLabel(err))
 	now := f.clock()
@@ -89,12 +89,13 @@
 		Searchers:   f.searchers.Revision(),
 		Instances:   f.instances.Revision(),
 		Quarantines: f.activeQuarantines(nil),
+		Crashes:     f.recentCrashes(nil),
 	}, f.changed
 }
 
 // Follow serves the request of another daemon.
 func (f *Follower) Follow(ctx context.Context, request *rrpeer.FeedRequest) (*rrpeer.FeedResponse, error) {
-	f.addPeerQuarantines(request.Quarantines)
+	f.addPeerFindings(request.Quarantines, request.Crashes)
 	timer := time.NewTimer(request.Wait.Std())
 	defer timer.Stop()
 	for delayed := false; ; {
@@ -128,6 +129,7 @@
 	age, known := f.core.DataAge(f.clock())
 	response := &rrpeer.FeedResponse{Confirmed: known, Age: rrpeer.NewAge(age), Changes: f.changesSince(request)}
 	response.Quarantines = f.activeQuarantines(request.Quarantines)
+	response.Crashes = f.recentCrashes(request.Crashes)
 	return response, f.changed, response.Changes != nil && response.Changes.HasEntries() || len(response.Quarantines) > 0
 }
 
--- a/internal/app/rrfollow/quarantine.go
+++ b/internal/app/rrfollow/quarantine.go
@@ -14,82 +14,105 @@
 )
 
 const (
-	// readerTellInterval is how often a reader tells the other readers of active
-	// quarantines.
+	// readerTellInterval is how often a reader tells the other readers of crashes and of
+	// active quarantines.
 	readerTellInterval = 500 * time.Millisecond
 	// readerTellTimeout bounds one such call.
 	readerTellTimeout = 300 * time.Millisecond
+	// crashRelayTime is how long a crash is passed on: long enough for two requests in a
+	// row to be lost on each of the two hops to any other daemon.
+	crashRelayTime = rrunit.Duration(5 * time.Second)
 )
 
-// quarantine is a request that was found to crash searchers.
-type quarantine struct {
-	fingerprint rrunit.Fingerprint
-	until       rrunit.Instant
+func newQuarantineNotices() notices[rrunit.Fingerprint] {
+	return notices[rrunit.Fingerprint]{compare: cmp.Compare[rrunit.Fingerprint], limit: rrpeer.MaxDigestQuarantines}
 }
 
-// AnnounceQuarantine passes a quarantine that this daemon decided on to the other daemons.
-func (f *Follower) AnnounceQuarantine(q rrpeer.Quarantine) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.addQuarantine(q)
+func newCrashNotices() notices[rrpeer.CrashedRun] {
+	return notices[rrpeer.CrashedRun]{compare: rrpeer.CrashedRun.Compare, limit: rrpeer.MaxCrashes}
 }
 
-// addQuarantine adds a quarantine to those that are passed on and reports whether it
-// is new. Above rrpeer.MaxDigestQuarantines all daemons keep the same ones, those of the
-// least fingerprints, so that they don't send each other the rest again and again. The
-// caller holds mu.
+// AnnounceQuarantine passes a quarantine that this daemon decided on to the other daemons.
+func (f *Follower) AnnounceQuarantine(q rrpeer.Quarantine) { f.addQuarantine(q) }
+
+// addQuarantine adds a quarantine to those that are passed on and reports whether it is
+// new. Waiting requests are answered with it at once.
 func (f *Follower) addQuarantine(q rrpeer.Quarantine) bool {
-	now := f.clock()
-	f.quarantines = slices.DeleteFunc(f.quarantines, func(known quarantine) bool { return known.until <= now })
-	i, known := slices.BinarySearchFunc(f.quarantines, q.Fingerprint, func(known quarantine, of rrunit.Fingerprint) int {
-		return cmp.Compare(known.fingerprint, of)
-	})
-	if known || i >= rrpeer.MaxDigestQuarantines {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.quarantines.add(f.clock(), q.Fingerprint, q.TimeLeft) {
 		return false
 	}
-	f.quarantines = slices.Insert(f.quarantines, i, quarantine{fingerprint: q.Fingerprint, until: now.Add(q.TimeLeft.Std())})
-	f.quarantines = f.quarantines[:min(len(f.quarantines), rrpeer.MaxDigestQuarantines)]
 	f.notifyWaiters()
 	return true
 }
 
-// addPeerQuarantines adds the quarantines of another daemon and applies the new ones
-// to this daemon's own dispatchers.
-func (f *Follower) addPeerQuarantines(quarantines []rrpeer.Quarantine) {
+// addCrash adds a crash to those that are passed on and reports whether it is new. It goes
+// out with the next message, as many requests can be lost at once.
+func (f *Follower) addCrash(c rrpeer.Crash) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes.add(f.clock(), c.CrashedRun, c.TimeLeft)
+}
+
+// addPeerFindings adds what another daemon found out of crashing requests, and applies what
+// is new to this daemon's own dispatchers.
+func (f *Follower) addPeerFindings(quarantines []rrpeer.Quarantine, crashes []rrpeer.Crash) {
 	for _, q := range quarantines {
-		f.mu.Lock()
-		isNew := f.addQuarantine(q)
-		f.mu.Unlock()
-		if isNew {
+		if f.addQuarantine(q) {
 			f.cfg.Quarantine(q)
 		}
 	}
+	for _, c := range crashes {
+		if f.addCrash(c) {
+			f.cfg.AddPeerCrash(c.CrashedRun)
+		}
+	}
 }
 
 // activeQuarantines returns the active quarantines, without those that the requester has.
 // The caller holds mu.
 func (f *Follower) activeQuarantines(known []rrpeer.Quarantine) []rrpeer.Quarantine {
-	now := f.clock()
 	var out []rrpeer.Quarantine
-	for _, entry := range f.quarantines {
-		isKnown := slices.ContainsFunc(known, func(q rrpeer.Quarantine) bool { return q.Fingerprint == entry.fingerprint })
-		if left := entry.until.Sub(now); left > 0 && !isKnown {
-			out = append(out, rrpeer.Quarantine{Fingerprint: entry.fingerprint, TimeLeft: rrunit.Duration(left)})
-		}
+	isKnown := func(k rrunit.Fingerprint) bool {
+		return slices.ContainsFunc(known, func(q rrpeer.Quarantine) bool { return q.Fingerprint == k })
+	}
+	f.quarantines.active(f.clock(), isKnown, func(k rrunit.Fingerprint, left rrunit.Duration) {
+		out = append(out, rrpeer.Quarantine{Fingerprint: k, TimeLeft: left})
+	})
+	return out
+}
+
+// recentCrashes returns the crashes to pass on, without those that the requester has. The
+// caller holds mu.
+func (f *Follower) recentCrashes(known []rrpeer.Crash) []rrpeer.Crash {
+	var out []rrpeer.Crash
+	isKnown := func(k rrpeer.CrashedRun) bool {
+		return slices.ContainsFunc(known, func(c rrpeer.Crash) bool { return c.CrashedRun == k })
 	}
+	f.crashes.active(f.clock(), isKnown, func(k rrpeer.CrashedRun, left rrunit.Duration) {
+		out = append(out, rrpeer.Crash{CrashedRun: k, TimeLeft: left})
+	})
 	return out
 }
 
-// tellReaders exchanges active quarantines with the other readers while this daemon is a
-// reader, until ctx ends. Followers get them with what they follow, but readers follow
-// nobody.
+// takeCrashes adds this daemon's own crashes to those that are passed on.
+func (f *Follower) takeCrashes() {
+	for _, run := range f.cfg.TakeCrashes() {
+		f.addCrash(rrpeer.Crash{CrashedRun: run, TimeLeft: crashRelayTime})
+	}
+}
+
+// tellReaders exchanges crashes and active quarantines with the other readers while this
+// daemon is a reader, until ctx ends. Followers get them with what they follow, but readers
+// follow nobody.
 func (f *Follower) tellReaders(ctx context.Context) {
 	for rrunit.Sleep(ctx, readerTellInterval) {
 		f.mu.Lock()
 		readers := f.core.OtherReaders()
 		f.mu.Unlock()
 		request, _ := f.feedRequest()
-		if len(request.Quarantines) == 0 {
+		if len(request.Quarantines) == 0 && len(request.Crashes) == 0 {
 			continue
 		}
 		var calls sync.WaitGroup
@@ -106,8 +129,8 @@
 	response, err := f.cfg.Feeds.Follow(ctx, reader, request)
 	f.cfg.Metrics.Count(rrmetrics.GroupPeerCalls, outcomeLabel(err))
 	if err != nil {
-		f.cfg.Log.Failure("quarantines not told", "peer", reader, "err", err)
+		f.cfg.Log.Failure("crashes not told", "peer", reader, "err", err)
 		return
 	}
-	f.addPeerQuarantines(response.Quarantines)
+	f.addPeerFindings(response.Quarantines, response.Crashes)
 }
--- a/internal/app/rrfollow/rrfollow.go
+++ b/internal/app/rrfollow/rrfollow.go
@@ -44,6 +44,10 @@
 	Update func(*rrcatalog.Catalog)
 	// Quarantine is called with every quarantine that another daemon decided on.
 	Quarantine func(rrpeer.Quarantine)
+	// TakeCrashes returns, once each, this daemon's crashes after which nobody has answered
+	// the request. AddPeerCrash is called with each crash that another daemon told of.
+	TakeCrashes  func() []rrpeer.CrashedRun
+	AddPeerCrash func(rrpeer.CrashedRun)
 	// TakeEvidence returns the outcomes of own requests since the last call, and
 	// MergeEvidence is called with those of other daemons of the zone.
 	TakeEvidence  func() []rrpeer.SearcherEvidence
@@ -75,9 +79,9 @@
 	changed chan struct{}
 	// graceTimer publishes a new catalog when the grace period of an expired entry ends.
 	graceTimer *time.Timer
-	// quarantines are those that this daemon passes on, by fingerprint; expired ones are
-	// dropped with the next. There are at most rrpeer.MaxDigestQuarantines.
-	quarantines []quarantine
+	// quarantines and crashes are those that this daemon passes on.
+	quarantines notices[rrunit.Fingerprint]
+	crashes     notices[rrpeer.CrashedRun]
 	// lastStoreFailure is when a call to the store last failed; zero is never.
 	lastStoreFailure rrunit.Instant
 }
@@ -97,6 +101,8 @@
 		instances:    &rrcatalog.Instances{},
 		changesCache: make(map[revisions]*rrpeer.FeedChanges),
 		changed:      make(chan struct{}),
+		quarantines:  newQuarantineNotices(),
+		crashes:      newCrashNotices(),
 	}
 	f.graceTimer = time.AfterFunc(time.Hour, f.republish)
 	return f
--- a/internal/app/rrnode/rrnode.go
+++ b/internal/app/rrnode/rrnode.go
@@ -143,6 +143,8 @@
 		Metrics:       n.metrics,
 		Update:        n.update,
 		Quarantine:    n.dispatchers.Quarantine,
+		TakeCrashes:   n.dispatchers.TakeCrashes,
+		AddPeerCrash:  n.dispatchers.AddPeerCrash,
 		TakeEvidence:  n.dispatchers.TakeEvidence,
 		MergeEvidence: n.dispatchers.MergeEvidence,
 	})
--- a/internal/domain/rrpeer/feed.go
+++ b/internal/domain/rrpeer/feed.go
@@ -20,6 +20,8 @@
 	Instances rrcatalog.Revision `json:"instances"`
 	// Quarantines are the active quarantines that the requester knows.
 	Quarantines []Quarantine `json:"quarantines,omitempty"`
+	// Crashes are the recent crashes that the requester knows.
+	Crashes []Crash `json:"crashes,omitempty"`
 	// Wait is how long to wait for changes.
 	Wait rrunit.Duration `json:"wait"`
 	// Delay is how long to delay changes that the requester may receive from others.
@@ -34,6 +36,9 @@
 	if len(a.Quarantines) > MaxDigestQuarantines {
 		return rrunit.Invalid("quarantines", "%d are more than %d", len(a.Quarantines), MaxDigestQuarantines)
 	}
+	if err := checkCrashes(a.Crashes); err != nil {
+		return err
+	}
 	if a.Delay < 0 || a.Delay > a.Wait {
 		return rrunit.Invalid("delay", "%s is not between 0s and the wait %s", a.Delay, a.Wait)
 	}
@@ -51,10 +56,15 @@
 	Changes *FeedChanges `json:"-"`
 	// Quarantines are the active quarantines that the requester does not have.
 	Quarantines []Quarantine `json:"quarantines,omitempty"`
+	// Crashes are the recent crashes that the requester does not know.
+	Crashes []Crash `json:"crashes,omitempty"`
 }
 
 // Check builds the tables and returns an error that names the first invalid field.
 func (n *FeedResponse) Check() error {
+	if err := checkCrashes(n.Crashes); err != nil {
+		return err
+	}
 	if n.Changes == nil {
 		return nil
 	}
--- a/internal/policy/rrquarantine/loss.go
+++ b/internal/policy/rrquarantine/loss.go
@@ -10,6 +10,7 @@
 // request is quarantined at once.
 func (t *Tracker) RecordLoss(now rrunit.Instant, l Loss) (Quarantine, bool) {
 	t.recordIncident(now, l.Searcher)
+	t.addUntold(now, l)
 	s := t.suspect(now, l.Fingerprint)
 	if !slices.Contains(s.searchers, l.Searcher) {
 		s.searchers = append(s.searchers, l.Searcher)
--- a/internal/policy/rrquarantine/rrquarantine.go
+++ b/internal/policy/rrquarantine/rrquarantine.go
@@ -58,6 +58,12 @@
 	// maxInconclusive is how many inconclusive losses, each at a shared searcher or
 	// with a common cause, quarantine the request.
 	maxInconclusive = 3
+	// unansweredTime is how long after a loss nobody must have answered the request for
+	// other daemons to be told. Most requests that were lost with a searcher are answered
+	// by another one sooner.
+	unansweredTime = 250 * time.Millisecond
+	// maxUntold limits memory; the oldest loss is dropped first.
+	maxUntold = 64
 	// maxSuspects limits memory; the oldest suspect is dropped first.
 	maxSuspects = 4096
 )
@@ -97,6 +103,13 @@
 	at       rrunit.Instant
 }
 
+// untoldLoss is a loss that other daemons were not told of yet.
+type untoldLoss struct {
+	fingerprint rrunit.Fingerprint
+	searcher    rrunit.SearcherID
+	at          rrunit.Instant
+}
+
 // timedFingerprint is a fingerprint with the time of its event, in a queue by time.
 type timedFingerprint struct {
 	fingerprint rrunit.Fingerprint
@@ -115,6 +128,9 @@
 	pending []timedFingerprint
 	// quarantined holds the end of each quarantine.
 	quarantined map[rrunit.Fingerprint]rrunit.Instant
+	// untold are the losses that other daemons were not told of yet, by time. There are at
+	// most maxUntold.
+	untold []untoldLoss
 	// incidents are those of the last commonCauseTime, by time.
 	incidents []incident
 }
--- a/internal/policy/rrquarantine/rrquarantine_test.go
+++ b/internal/policy/rrquarantine/rrquarantine_test.go
@@ -71,3 +71,31 @@
 		})
 	}
 }
+
+// Other daemons are told of a request that nobody has answered for a while after its loss,
+// once, and suspect it then.
+func TestUnansweredLossesAreTold(t *testing.T) {
+	tr := rrquarantine.New(duration)
+	for f := range rrunit.Fingerprint(2) {
+		tr.RecordLoss(0, rrquarantine.Loss{Fingerprint: f, Searcher: "a", Isolation: rrquarantine.IsolationUnsuspected})
+	}
+	tr.RecordAnswer(0)
+	take := func(now rrunit.Instant) []rrunit.Fingerprint {
+		var out []rrunit.Fingerprint
+		tr.TakeUnanswered(now, func(f rrunit.Fingerprint, id rrunit.SearcherID) {
+			must.Eq(t, "a", id)
+			out = append(out, f)
+		})
+		return out
+	}
+	must.Len(t, 0, take(100*ms))
+	must.Eq(t, []rrunit.Fingerprint{1}, take(300*ms))
+	must.Len(t, 0, take(400*ms))
+
+	other := rrquarantine.New(duration)
+	other.AddPeerLoss(300*ms, 1, "a")
+	state, _ := other.State(300*ms, 1)
+	must.Eq(t, rrquarantine.StateSuspect, state)
+	must.Len(t, 0, other.Tick(600*ms))
+	other.TakeUnanswered(900*ms, func(rrunit.Fingerprint, rrunit.SearcherID) { t.Error("told of a loss that another daemon told of") })
+}
--- a/internal/test/rrplatform/crash_test.go
+++ b/internal/test/rrplatform/crash_test.go
@@ -261,3 +261,34 @@
 	must.Eq(t, http.StatusServiceUnavailable, daemons[1].get("/one/"+crashPath).status)
 	must.Eq(t, before, len(log.all()))
 }
+
+// Each daemon suspects a request only after it has lost a searcher itself, so that a request
+// that is not repeated by the daemons crashes one searcher at each of them.
+func TestSuspicionStaysWithOneDaemon(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs 12 daemons")
+	}
+	f, log := crashingFleet(t)
+	var daemons []*daemon
+	var seeds []netip.AddrPort
+	for i := range 12 {
+		daemons = append(daemons, f.startUnready(fmt.Sprintf("d%d", i), []string{"a", "b", "c"}[i%3], seeds...))
+		seeds = append(seeds, daemons[i].settings.PeerAddress)
+	}
+	for _, d := range daemons {
+		f.eventually("daemon is ready", func() bool { return d.ready() == http.StatusOK })
+	}
+	time.Sleep(2 * time.Second)
+	for _, d := range daemons {
+		d.get("/once/" + crashPath)
+		time.Sleep(700 * time.Millisecond)
+	}
+	crashes := log.all()
+	for _, c := range crashes {
+		t.Logf("crash %v id=%s", c.at.Sub(crashes[0].at).Round(time.Millisecond), c.id)
+	}
+	must.Positive(t, len(crashes))
+	if len(crashes) > 2 {
+		must.LessEq(t, 3, log.requestsAfter(crashes[2].at.Add(4*time.Second)))
+	}
+}
--- a/internal/test/rrplatform/fleet_test.go
+++ b/internal/test/rrplatform/fleet_test.go
@@ -182,7 +182,7 @@
 	return &daemon{
 		settings: &rrsettings.GatewaySettings{
 			Instance: rrunit.InstanceID(name), Zone: rrunit.Zone(zone), Region: rrunit.Region("r-" + zone),
-			Zones:         map[rrunit.Zone]rrunit.Region{"a": "r-a", "b": "r-b"},
+			Zones:         map[rrunit.Zone]rrunit.Region{"a": "r-a", "b": "r-b", "c": "r-c"},
 			CallerAddress: freeAddress(f.t), ReadinessAddress: freeAddress(f.t), PeerAddress: freeAddress(f.t), MetricsAddress: freeAddress(f.t),
 			StoreAddress: f.address, Memory: 256 << 20, Seeds: seeds,
 			Bounds: rrsettings.Bounds{
