Check searchers that break off an answer for a crash

A searcher that ends after it has begun its answer cleared the request that ended it of suspicion: the broken answer counted as one. Such a request reached searchers in 6 and 10 requests later than 4 s after the third crash, of 3 allowed (TestCrashingRequestIsRetriedForever, 'breaks off', fails on the commit before).

An answer that is not complete is now followed by the check too. A searcher that lives and garbles its answers is treated as before.

--- a/internal/app/rrdispatchers/crash.go
+++ b/internal/app/rrdispatchers/crash.go
@@ -25,7 +25,8 @@
 
 // crashCheck checks whether a searcher whose connection was lost is dead. A searcher that
 // ends as it begins to run a request closes the connection as soon as one that closes an
-// idle connection, so that only a check can tell.
+// idle connection, and one that ends later as one that breaks off its answer, so that only
+// a check can tell.
 type crashCheck struct {
 	done chan struct{}
 	// dead is set before done is closed.
@@ -35,7 +36,7 @@
 // checkLoss starts a check of the attempt's searcher if its connection was lost, and waits
 // at most maxCrashWait for the result. It returns nil if there is nothing to check.
 func (d *dispatcher) checkLoss(at *attempt) *crashCheck {
-	if !at.response.Outcome.IsConnectionEnd() {
+	if !at.response.Outcome.IsConnectionEnd() && !at.response.IsBroken() {
 		return nil
 	}
 	c := &crashCheck{done: make(chan struct{})}
--- a/internal/port/rrforward/rrforward.go
+++ b/internal/port/rrforward/rrforward.go
@@ -84,6 +84,11 @@
 	NewConnection bool
 }
 
+// IsBroken reports whether an answer had begun and was not complete or not readable.
+func (r *Response) IsBroken() bool {
+	return r.Outcome == rrupstream.OutcomeFailed && r.Status == 0
+}
+
 // LimitDecoder returns the request rate that a searcher accepts from all daemons
 // together, by the header of its response; nil if the response names none.
 type LimitDecoder func(http.Header) (*rrunit.Rate, error)
--- a/internal/test/rrplatform/crash_test.go
+++ b/internal/test/rrplatform/crash_test.go
@@ -65,6 +65,8 @@
 	crashCloses crashMode = "closes"
 	// crashResets resets the connections.
 	crashResets crashMode = "resets"
+	// crashBreaksOff closes the connections in the middle of an answer's head.
+	crashBreaksOff crashMode = "breaks off"
 )
 
 // crashing makes the searcher end once it begins to run a crashing request, and start
@@ -75,13 +77,8 @@
 			return true
 		}
 		log.add(r.Header.Get("X-Attempt-Id"))
-		if mode == crashResets {
-			if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-				if tcp, ok := conn.(*net.TCPConn); ok {
-					_ = tcp.SetLinger(0)
-				}
-				_ = conn.Close()
-			}
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			endConnection(conn, mode)
 		}
 		s.Close()
 		time.AfterFunc(restart, func() { f.restartSearcher(s, zone, mode, restart, incarnation+1, log) })
@@ -89,6 +86,20 @@
 	})
 }
 
+// endConnection ends the connection on which a searcher received a crashing request.
+func endConnection(conn net.Conn, mode crashMode) {
+	switch mode {
+	case crashResets:
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	case crashBreaksOff:
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nX-Server-St"))
+	case crashCloses:
+	}
+	_ = conn.Close()
+}
+
 // restartSearcher starts the next process of a searcher, unless the test has ended.
 func (f *fleet) restartSearcher(s *standin.Searcher, zone string, mode crashMode, restart time.Duration, incarnation int, log *crashLog) {
 	if f.t.Context().Err() != nil {
@@ -127,7 +138,7 @@
 // each other's.
 func TestCrashingRequestIsRetriedForever(t *testing.T) {
 	for _, path := range []string{"/all/", "/one/"} {
-		for _, mode := range []crashMode{crashCloses, crashResets} {
+		for _, mode := range []crashMode{crashCloses, crashResets, crashBreaksOff} {
 			t.Run(strings.Trim(path, "/")+" "+string(mode), func(t *testing.T) {
 				t.Parallel()
 				f := newFleet(t)
