Find a searcher dead whose connections end one after the other

By reading: the check for a crash took a searcher for alive if one of its idle connections was still open. The ends of a dead process's connections arrive one after the other, and the check follows the first at once. It now looks a second time 5 ms later. TestDeadSearcherLooksAlive failed before. The check no longer prolongs the time for which the idle connection is kept.

--- a/internal/adapter/rrconn/pool.go
+++ b/internal/adapter/rrconn/pool.go
@@ -56,6 +56,22 @@
 	}
 }
 
+// hasOpen reports whether an idle connection is open, and closes those that are not.
+func (p *pool) hasOpen(now time.Time) bool {
+	pc := p.get(now)
+	if pc == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		pc.close()
+		return false
+	}
+	p.idle = append(p.idle, pc)
+	return true
+}
+
 // setLimits sets how many connections stay idle, and for how long; zero means as
 // long as the searcher keeps them open.
 func (p *pool) setLimits(maxIdle int, idleTimeout time.Duration) {
--- a/internal/adapter/rrconn/rrconn.go
+++ b/internal/adapter/rrconn/rrconn.go
@@ -108,12 +108,15 @@
 // After that it counts as unreachable, not as dead.
 const probeTimeout = 300 * time.Millisecond
 
+// endsArriveWithin is the time within which the ends of all connections of a process that
+// has ended arrive.
+const endsArriveWithin = 5 * time.Millisecond
+
 // IsDead implements rrforward.Forwarder. A connection that it opens goes to the
 // pool.
 func (c *Client) IsDead(ctx context.Context, to rrforward.Target) bool {
 	p := c.pool(to)
-	if pc := p.get(time.Now()); pc != nil {
-		p.put(pc, time.Now())
+	if p.hasOpen(time.Now()) && rrunit.Sleep(ctx, endsArriveWithin) && p.hasOpen(time.Now()) {
 		return false
 	}
 	pc, err := c.dial(ctx, to, time.Now().Add(probeTimeout))
--- a/internal/adapter/rrconn/rrconn_test.go
+++ b/internal/adapter/rrconn/rrconn_test.go
@@ -271,6 +271,22 @@
 	must.Eq(t, rrupstream.OutcomeUnsent, forward(t, c, other, newRequest("1")).Outcome)
 }
 
+// The ends of a dead process's connections arrive one after the other, so that another
+// connection may look open when the first has ended.
+func TestDeadSearcherLooksAlive(t *testing.T) {
+	accepted := make(chan net.Conn, 1)
+	s, to := serve(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+		accepted <- conn
+		_, _, _ = read(r)
+	})
+	c := newClient(t)
+	must.NoError(t, c.Connect(t.Context(), to))
+	conn := <-accepted
+	must.NoError(t, s.listener.Close())
+	time.AfterFunc(time.Millisecond, func() { _ = conn.Close() })
+	must.True(t, c.IsDead(t.Context(), to))
+}
+
 // When the caller cancels, the attempt ends at once and its connection is closed,
 // which the searcher can detect.
 func TestCancelClosesTheConnection(t *testing.T) {
