Count other daemons' losses where a crash is inconclusive

The searchers that other daemons lost with the request, and told of since nobody answered it, now count like inconclusive losses; the last one must be this daemon's own. TestPeerLossesAreCounted and TestOtherCrashesHideACrashingRequest failed before.

--- a/internal/policy/rrquarantine/loss.go
+++ b/internal/policy/rrquarantine/loss.go
@@ -26,7 +26,7 @@
 		return Quarantine{}, false
 	}
 	s.inconclusive++
-	if s.inconclusive < maxInconclusive {
+	if s.inconclusive+s.peerLosses < maxInconclusive {
 		return Quarantine{}, false
 	}
 	return t.quarantine(now, l.Fingerprint), true
--- a/internal/policy/rrquarantine/peers.go
+++ b/internal/policy/rrquarantine/peers.go
@@ -28,11 +28,13 @@
 	t.untold = slices.Delete(t.untold, 0, due)
 }
 
-// AddPeerLoss makes a request suspect that another daemon has lost at the searcher. It is no
-// proof, and shows no common cause, as it is told some time later.
+// AddPeerLoss makes a request suspect that another daemon has lost at the searcher. By itself
+// it decides nothing, and shows no common cause, as it is told some time later; beside a
+// loss of this daemon it counts like one that is no proof.
 func (t *Tracker) AddPeerLoss(now rrunit.Instant, fingerprint rrunit.Fingerprint, id rrunit.SearcherID) {
 	s := t.suspect(now, fingerprint)
 	if !slices.Contains(s.searchers, id) {
 		s.searchers = append(s.searchers, id)
+		s.peerLosses++
 	}
 }
--- a/internal/policy/rrquarantine/rrquarantine.go
+++ b/internal/policy/rrquarantine/rrquarantine.go
@@ -55,8 +55,8 @@
 	// commonCauseTime is how long before the loss of a suspect that ran alone the
 	// loss of another searcher shows a common cause.
 	commonCauseTime = time.Second
-	// maxInconclusive is how many inconclusive losses, each at a shared searcher or
-	// with a common cause, quarantine the request.
+	// maxInconclusive is how many inconclusive losses, each at a shared searcher, with a
+	// common cause or of another daemon, quarantine the request. The last is of this daemon.
 	maxInconclusive = 3
 	// unansweredTime is how long after a loss nobody must have answered the request for
 	// other daemons to be told. Most requests that were lost with a searcher are answered
@@ -88,6 +88,8 @@
 	searchers []rrunit.SearcherID
 	// inconclusive counts the losses that are no proof by themselves.
 	inconclusive int
+	// peerLosses counts the searchers at which only other daemons have lost the request.
+	peerLosses int
 	// heldUntil is when the request may run again.
 	heldUntil rrunit.Instant
 	// decideAt is when the loss of the suspect that ran alone quarantines it; zero
--- a/internal/policy/rrquarantine/rrquarantine_test.go
+++ b/internal/policy/rrquarantine/rrquarantine_test.go
@@ -99,3 +99,27 @@
 	must.Len(t, 0, other.Tick(600*ms))
 	other.TakeUnanswered(900*ms, func(rrunit.Fingerprint, rrunit.SearcherID) { t.Error("told of a loss that another daemon told of") })
 }
+
+// Losses of other daemons count where this daemon's own loss is inconclusive, so that a
+// request that crashes searchers beside other crashes need not come to one daemon often.
+func TestPeerLossesAreCounted(t *testing.T) {
+	for name, c := range map[string]struct {
+		told []rrunit.SearcherID
+		want rrquarantine.State
+	}{
+		"one searcher told twice": {[]rrunit.SearcherID{"a", "a"}, rrquarantine.StateSuspect},
+		"two searchers":           {[]rrunit.SearcherID{"a", "b"}, rrquarantine.StateQuarantined},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr := rrquarantine.New(duration)
+			for _, id := range c.told {
+				tr.AddPeerLoss(0, 1, id)
+			}
+			tr.RecordLoss(100*ms, rrquarantine.Loss{Fingerprint: 2, Searcher: "other", Isolation: rrquarantine.IsolationUnsuspected})
+			tr.RecordLoss(110*ms, rrquarantine.Loss{Fingerprint: 1, Searcher: "c", Isolation: rrquarantine.IsolationAlone})
+			tr.Tick(300 * ms)
+			state, _ := tr.State(300*ms, 1)
+			must.Eq(t, c.want, state)
+		})
+	}
+}
--- a/internal/test/rrplatform/crash_test.go
+++ b/internal/test/rrplatform/crash_test.go
@@ -303,3 +303,49 @@
 		must.LessEq(t, 3, log.requestsAfter(crashes[2].at.Add(4*time.Second)))
 	}
 }
+
+// Searchers that end for other causes meanwhile make each loss of a crashing request
+// inconclusive, at each daemon by itself.
+func TestOtherCrashesHideACrashingRequest(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs 6 daemons under load for 20 s")
+	}
+	f, log := crashingFleet(t)
+	for range 4 {
+		f.crashing(f.addSearcher("one", "b"), "b", crashCloses, 500*time.Millisecond, 1, log)
+	}
+	var daemons []*daemon
+	var seeds []netip.AddrPort
+	for i := range 6 {
+		daemons = append(daemons, f.startUnready(fmt.Sprintf("d%d", i), []string{"a", "b", "c"}[i%3], seeds...))
+		seeds = append(seeds, daemons[i].settings.PeerAddress)
+	}
+	for _, d := range daemons {
+		f.eventually("daemon is ready", func() bool { return d.ready() == http.StatusOK })
+	}
+	stopLoad := f.load(daemons, "/one/")
+	time.Sleep(time.Second)
+	// Each of the other crashes has a request of its own.
+	var other sync.WaitGroup
+	other.Go(func() {
+		for n := range 60 {
+			daemons[n%len(daemons)].call(call{path: fmt.Sprintf("/once/other-%d-%s", n, crashPath)})
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+	time.Sleep(1500 * time.Millisecond)
+	for n := range 10 {
+		daemons[n%len(daemons)].call(call{path: "/one/" + crashPath, id: fmt.Sprintf("the-one-%d", n)})
+		time.Sleep(time.Second)
+	}
+	other.Wait()
+	stopLoad()
+	requests := make(map[string]bool)
+	for _, c := range log.all() {
+		if strings.HasPrefix(c.id, "the-one") {
+			requests[c.id] = true
+		}
+	}
+	must.Positive(t, len(requests))
+	must.LessEq(t, 4, len(requests))
+}
