--- a/internal/app/rrfollow/store.go
+++ b/internal/app/rrfollow/store.go
@@ -192,6 +192,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if known := f.revisionOf(kind); c.Delta.Revision < known {
+		f.cfg.Log.Failure("older state not taken", "kind", kind, "revision", c.Delta.Revision, "known", known)
+	}
 	if f.lastStoreFailure > 0 && f.clock().Sub(f.lastStoreFailure) < storeFailureWindow {
 		c.Delta.RemovalUncertain = true
 		for k, e := range c.Delta.Entries {
@@ -204,6 +207,18 @@
 	f.applyChanges(wrap(&c.Delta))
 }
 
+// revisionOf returns the revision of the set of a kind. The caller holds mu.
+func (f *Follower) revisionOf(kind storeKind) rrcatalog.Revision {
+	switch kind {
+	case kindTables:
+		return f.tables.Revision()
+	case kindSearchers:
+		return f.searchers.Revision()
+	default:
+		return f.instances.Revision()
+	}
+}
+
 // outcomeLabel returns the metrics label of a call.
 func outcomeLabel(err error) string {
 	if err != nil {
