--- a/internal/domain/rrcatalog/set.go
+++ b/internal/domain/rrcatalog/set.go
@@ -1,14 +1,12 @@
 package rrcatalog
 
 import (
+	"cmp"
 	"iter"
 	"maps"
 	"slices"
 )
 
-// Revision orders the changes of the platform's store; zero precedes all others.
-type Revision uint64
-
 // Entry is the last known state of one object.
 type Entry[V any] struct {
 	// Revision is that of the object's last change.
@@ -117,7 +115,7 @@
 	if len(removed) <= maxRemoved {
 		return
 	}
-	slices.SortFunc(removed, func(a, b K) int { return int(s.entries[a].Revision) - int(s.entries[b].Revision) })
+	slices.SortFunc(removed, func(a, b K) int { return cmp.Compare(s.entries[a].Revision, s.entries[b].Revision) })
 	for _, k := range removed[:len(removed)-maxRemoved/2] {
 		s.compactedRevision = max(s.compactedRevision, s.entries[k].Revision)
 		delete(s.entries, k)
