Take the routing table with the greatest number from whoever has it

A daemon that started after the store had come back from a copy served the copy's older routes until the operator's change was written again, though the other daemons knew newer ones: their revision is lower than that of the copy.

Daemons now name the number of their table when they follow another one, and get its table if that has a greater number, whatever the revisions say. Readers, who follow nobody, ask each other for 5 s after a start or a restore. An older daemon names no number, and is answered as before.

--- a/internal/app/rrfollow/peers.go
+++ b/internal/app/rrfollow/peers.go
@@ -7,6 +7,7 @@
 	"rhubarbreel.example/rhubarbreel/internal/app/rrmetrics"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrcatalog"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrpeer"
+	"rhubarbreel.example/rhubarbreel/internal/domain/rrroute"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrsource"
 )
@@ -84,13 +85,17 @@
 func (f *Follower) feedRequest() (*rrpeer.FeedRequest, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return &rrpeer.FeedRequest{
+	request := &rrpeer.FeedRequest{
 		Tables:      f.tables.Revision(),
 		Searchers:   f.searchers.Revision(),
 		Instances:   f.instances.Revision(),
 		Quarantines: f.activeQuarantines(nil),
 		Crashes:     f.recentCrashes(nil),
-	}, f.changed
+	}
+	if f.appliedTable != nil {
+		request.Table = f.appliedTable.Number
+	}
+	return request, f.changed
 }
 
 // Follow serves the request of another daemon.
@@ -127,12 +132,34 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age, known := f.core.DataAge(f.clock())
-	response := &rrpeer.FeedResponse{Confirmed: known, Age: rrpeer.NewAge(age), Changes: f.changesSince(request)}
+	response := &rrpeer.FeedResponse{Confirmed: known, Age: rrpeer.NewAge(age), Changes: f.withNewerTable(f.changesSince(request), request)}
 	response.Quarantines = f.activeQuarantines(request.Quarantines)
 	response.Crashes = f.recentCrashes(request.Crashes)
 	return response, f.changed, response.Changes != nil && response.Changes.HasEntries() || len(response.Quarantines) > 0
 }
 
+// withNewerTable returns the changes with this daemon's table if that has a greater number
+// than the requester's. The revisions don't show it after the store was restored from a copy
+// with an older table. The caller holds mu.
+func (f *Follower) withNewerTable(c *rrpeer.FeedChanges, request *rrpeer.FeedRequest) *rrpeer.FeedChanges {
+	if request.Table == 0 || f.appliedTable == nil || f.appliedTable.Number <= request.Table {
+		return c
+	}
+	out := rrpeer.FeedChanges{}
+	if c != nil {
+		out = *c
+	}
+	if out.Tables != nil && out.Tables.Entries[f.appliedName].Value == f.appliedTable {
+		return c
+	}
+	revision := f.tables.Revision()
+	out.Tables = &rrcatalog.Delta[rrcatalog.TableName, rrroute.Table]{
+		Revision: revision,
+		Entries:  map[rrcatalog.TableName]rrcatalog.Entry[rrroute.Table]{f.appliedName: {Revision: revision, Value: f.appliedTable}},
+	}
+	return &out
+}
+
 // revisions are those that a requester has.
 type revisions struct{ tables, searchers, instances rrcatalog.Revision }
 
--- a/internal/app/rrfollow/quarantine.go
+++ b/internal/app/rrfollow/quarantine.go
@@ -19,6 +19,9 @@
 	readerTellInterval = 500 * time.Millisecond
 	// readerTellTimeout bounds one such call.
 	readerTellTimeout = 300 * time.Millisecond
+	// settleTime is how long other readers are asked for newer tables after a start or a
+	// restore of the store. Within it the operator's lost changes are written again.
+	settleTime = 5 * time.Second
 	// crashRelayTime is how long a crash is passed on: long enough for two requests in a
 	// row to be lost on each of the two hops to any other daemon.
 	crashRelayTime = rrunit.Duration(5 * time.Second)
@@ -103,16 +106,17 @@
 	}
 }
 
-// tellReaders exchanges crashes and active quarantines with the other readers while this
-// daemon is a reader, until ctx ends. Followers get them with what they follow, but readers
-// follow nobody.
+// tellReaders exchanges crashes, active quarantines and newer tables with the other readers
+// while this daemon is a reader, until ctx ends. Followers get them with what they follow,
+// but readers follow nobody. Only for some time after a daemon's start or a restore of the
+// store may other readers know of a newer table.
 func (f *Follower) tellReaders(ctx context.Context) {
 	for rrunit.Sleep(ctx, readerTellInterval) {
 		f.mu.Lock()
 		readers := f.core.OtherReaders()
 		f.mu.Unlock()
 		request, _ := f.feedRequest()
-		if len(request.Quarantines) == 0 && len(request.Crashes) == 0 {
+		if len(request.Quarantines) == 0 && len(request.Crashes) == 0 && !f.isSettling() {
 			continue
 		}
 		var calls sync.WaitGroup
@@ -133,4 +137,17 @@
 		return
 	}
 	f.addPeerFindings(response.Quarantines, response.Crashes)
+	if response.Changes != nil {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.applyChanges(response.Changes)
+	}
+}
+
+// isSettling reports whether this daemon has started, or learned of a restore of the store,
+// within settleTime.
+func (f *Follower) isSettling() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clock().Sub(f.settlingSince) < settleTime
 }
--- a/internal/app/rrfollow/rrfollow.go
+++ b/internal/app/rrfollow/rrfollow.go
@@ -69,8 +69,10 @@
 	tables    *rrcatalog.Tables
 	searchers *rrcatalog.Searchers
 	instances *rrcatalog.Instances
-	// appliedTable is the routing table in use; its number only increases.
+	// appliedTable is the routing table in use, and appliedName the name of its object. Its
+	// number only increases.
 	appliedTable *rrroute.Table
+	appliedName  rrcatalog.TableName
 	// changesCache has the changes that were sent to requesters since this daemon's
 	// own sets last changed, by the requester's revisions.
 	changesCache map[revisions]*rrpeer.FeedChanges
@@ -82,6 +84,10 @@
 	// quarantines and crashes are those that this daemon passes on.
 	quarantines notices[rrunit.Fingerprint]
 	crashes     notices[rrpeer.CrashedRun]
+	// era is the store's latest era that this daemon knows of; zero before the first.
+	era rrcatalog.Era
+	// settlingSince is when this daemon started, or last learned of a restore of the store.
+	settlingSince rrunit.Instant
 	// lastStoreFailure is when a call to the store last failed; zero is never.
 	lastStoreFailure rrunit.Instant
 }
@@ -103,6 +109,8 @@
 		changed:      make(chan struct{}),
 		quarantines:  newQuarantineNotices(),
 		crashes:      newCrashNotices(),
+
+		settlingSince: clock(),
 	}
 	f.graceTimer = time.AfterFunc(time.Hour, f.republish)
 	return f
@@ -175,12 +183,6 @@
 // publish passes the current catalog to Update. The caller holds mu.
 func (f *Follower) publish() {
 	now := f.clock()
-	for _, table := range f.tables.Live() {
-		if f.appliedTable == nil || table.Number > f.appliedTable.Number {
-			f.appliedTable = table
-			f.cfg.Log.StateChange("routing table in force", "number", table.Number, "revision", f.tables.Revision(), "routes", len(table.Routes))
-		}
-	}
 	if f.searchers.Revision() == 0 {
 		// Without searchers a table cannot serve requests.
 		return
@@ -206,11 +208,28 @@
 	return all
 }
 
+// takeTables takes the table with the greatest number into use. That of a lower number has a
+// higher revision after the store was restored from a copy. It reports whether there is a
+// new one. The caller holds mu.
+func (f *Follower) takeTables(d *rrcatalog.Delta[rrcatalog.TableName, rrroute.Table]) bool {
+	taken := false
+	for name, e := range d.Entries {
+		if e.Removed || e.Value == nil || f.appliedTable != nil && e.Value.Number <= f.appliedTable.Number {
+			continue
+		}
+		f.appliedTable, f.appliedName, taken = e.Value, name, true
+		f.cfg.Log.StateChange("routing table in force", "number", e.Value.Number, "revision", e.Revision, "routes", len(e.Value.Routes))
+	}
+	return taken
+}
+
 // applyChanges applies changes to the three sets and publishes the result. The caller
 // holds mu.
 func (f *Follower) applyChanges(changes *rrpeer.FeedChanges) {
 	before := [3]rrcatalog.Revision{f.tables.Revision(), f.searchers.Revision(), f.instances.Revision()}
+	hasTable := false
 	if changes.Tables != nil {
+		hasTable = f.takeTables(changes.Tables)
 		f.tables = f.tables.With(*changes.Tables)
 	}
 	if changes.Searchers != nil {
@@ -220,18 +239,32 @@
 		f.instances = f.instances.With(*changes.Instances)
 	}
 	after := [3]rrcatalog.Revision{f.tables.Revision(), f.searchers.Revision(), f.instances.Revision()}
-	if before == after {
+	if before == after && !hasTable {
 		return
 	}
 	if changes.Instances != nil {
 		f.updateInstances()
 	}
+	for i := range after {
+		if after[i].Era() > f.era {
+			f.recordRestore(after[i].Era())
+		}
+	}
 	f.notifyWaiters()
 	if changes.HasEntries() {
 		f.publish()
 	}
 }
 
+// recordRestore records that the store names a later era. The caller holds mu.
+func (f *Follower) recordRestore(era rrcatalog.Era) {
+	if f.era > 0 {
+		f.settlingSince = f.clock()
+		f.cfg.Log.StateChange("store was restored", "era", era, "before", f.era)
+	}
+	f.era = era
+}
+
 // notifyWaiters wakes the requests that wait for a change. The caller holds mu.
 func (f *Follower) notifyWaiters() {
 	f.changesCache = make(map[revisions]*rrpeer.FeedChanges)
--- a/internal/domain/rrpeer/feed.go
+++ b/internal/domain/rrpeer/feed.go
@@ -18,6 +18,9 @@
 	Tables    rrcatalog.Revision `json:"tables"`
 	Searchers rrcatalog.Revision `json:"searchers"`
 	Instances rrcatalog.Revision `json:"instances"`
+	// Table is the number of the table that the requester uses; zero means none, or a
+	// requester that does not say.
+	Table rrunit.DefinitionNumber `json:"table,omitempty"`
 	// Quarantines are the active quarantines that the requester knows.
 	Quarantines []Quarantine `json:"quarantines,omitempty"`
 	// Crashes are the recent crashes that the requester knows.
