Send whole sets to followers of an earlier era

Changes over eras are now whole sets; what is missing from them counts as removed while the store was disturbed, as it is most likely written again. TestChangesSinceAnEarlierEraAreWhole failed before.

--- a/internal/domain/rrcatalog/revision_test.go
+++ b/internal/domain/rrcatalog/revision_test.go
@@ -1,6 +1,7 @@
 package rrcatalog_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -46,3 +47,35 @@
 		})
 	}
 }
+
+// A daemon that knows an object of the era before, which the restored store lost and another
+// daemon never knew, must be told of its removal.
+func TestChangesSinceAnEarlierEraAreWhole(t *testing.T) {
+	revision := func(era rrcatalog.Era, counter uint64) rrcatalog.Revision {
+		r, err := rrcatalog.NewRevision(era, counter)
+		must.NoError(t, err)
+		return r
+	}
+	delta := func(r rrcatalog.Revision, full bool, names ...string) rrcatalog.Delta[string, int] {
+		d := rrcatalog.Delta[string, int]{Revision: r, Full: full, Entries: make(map[string]rrcatalog.Entry[int])}
+		for _, name := range names {
+			d.Entries[name] = rrcatalog.Entry[int]{Revision: r, Value: new(int)}
+		}
+		return d
+	}
+	live := func(s *rrcatalog.Set[string, int]) []string {
+		var out []string
+		for name := range s.Live() {
+			out = append(out, name)
+		}
+		slices.Sort(out)
+		return out
+	}
+	var empty rrcatalog.Set[string, int]
+	first := empty.With(delta(revision(1, 10), true, "a"))
+	second := first.With(delta(revision(1, 12), false, "lost"))
+	first = first.With(delta(revision(2, 11), true, "a", "b"))
+	changes, ok := first.Since(second.Revision())
+	must.True(t, ok)
+	must.Eq(t, []string{"a", "b"}, live(second.With(changes)))
+}
--- a/internal/domain/rrcatalog/set.go
+++ b/internal/domain/rrcatalog/set.go
@@ -127,7 +127,13 @@
 	if s.revision <= r {
 		return Delta[K, V]{}, false
 	}
-	d := Delta[K, V]{Revision: s.revision, Full: r < s.compactedRevision || r == 0, Entries: make(map[K]Entry[V])}
+	// An object that the restored store lost may be unknown here, and is most likely written
+	// again soon.
+	isEarlierEra := r > 0 && r.Era() < s.revision.Era()
+	d := Delta[K, V]{
+		Revision: s.revision, Full: r < s.compactedRevision || r == 0 || isEarlierEra,
+		RemovalUncertain: isEarlierEra, Entries: make(map[K]Entry[V]),
+	}
 	for k, e := range s.entries {
 		if e.Revision > r || d.Full && !e.Removed {
 			d.Entries[k] = e
