Register again with a store that was restored without this daemon

A daemon that had registered after the copy was made was unknown to the restored store until it ended: daemons that start later don't follow it or count it, so that their shares of what all daemons may do together are too large.

Daemons now remember the era in which they registered or were listed, and register again if a later era lacks them; readers list the daemons as soon as the era rises. Entries that vanish with a restore count as uncertain removals, like those that expire while the store is away.

--- a/internal/app/rrfollow/rrfollow.go
+++ b/internal/app/rrfollow/rrfollow.go
@@ -86,6 +86,10 @@
 	crashes     notices[rrpeer.CrashedRun]
 	// era is the store's latest era that this daemon knows of; zero before the first.
 	era rrcatalog.Era
+	// registeredEra is the latest era in which this daemon registered, or was listed.
+	registeredEra rrcatalog.Era
+	// restored is closed and replaced each time the store was restored.
+	restored chan struct{}
 	// settlingSince is when this daemon started, or last learned of a restore of the store.
 	settlingSince rrunit.Instant
 	// lastStoreFailure is when a call to the store last failed; zero is never.
@@ -110,6 +114,7 @@
 		quarantines:  newQuarantineNotices(),
 		crashes:      newCrashNotices(),
 
+		restored:      make(chan struct{}),
 		settlingSince: clock(),
 	}
 	f.graceTimer = time.AfterFunc(time.Hour, f.republish)
@@ -130,6 +135,7 @@
 	defer f.graceTimer.Stop()
 	group.Go(func() { f.sendEvidence(ctx) })
 	group.Go(func() { f.tellReaders(ctx) })
+	group.Go(func() { f.keepRegistered(ctx) })
 	if f.cfg.ColdStart {
 		group.Go(func() { f.register(ctx) })
 		group.Go(func() { f.listInstances(ctx) })
@@ -260,6 +266,8 @@
 func (f *Follower) recordRestore(era rrcatalog.Era) {
 	if f.era > 0 {
 		f.settlingSince = f.clock()
+		close(f.restored)
+		f.restored = make(chan struct{})
 		f.cfg.Log.StateChange("store was restored", "era", era, "before", f.era)
 	}
 	f.era = era
--- a/internal/app/rrfollow/store.go
+++ b/internal/app/rrfollow/store.go
@@ -35,6 +35,9 @@
 	// emptyRetryDelay is the delay after a failed call as long as the set is empty,
 	// when the daemon cannot serve requests.
 	emptyRetryDelay = 100 * time.Millisecond
+	// registrationInterval is how often a daemon checks that the restored store still knows
+	// it.
+	registrationInterval = 500 * time.Millisecond
 	// storeFailureWindow is how long after a failed call an entry that vanishes may
 	// have expired because its owner could not reach the store.
 	storeFailureWindow = 4 * time.Second
@@ -56,8 +59,11 @@
 func (f *Follower) register(ctx context.Context) {
 	for delay := minRetryDelay; ctx.Err() == nil; delay = min(2*delay, maxRetryDelay) {
 		started := f.clock()
-		err := f.cfg.Store.Register(ctx, f.cfg.Self)
+		era, err := f.cfg.Store.Register(ctx, f.cfg.Self)
 		if f.recordStoreCall(ctx, started, kindRegister, err) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.registeredEra = max(f.registeredEra, era)
 			return
 		}
 		sleepJittered(ctx, delay)
@@ -97,12 +103,53 @@
 	})
 	group.Go(func() {
 		for interval := minListInterval; ctx.Err() == nil; interval = min(2*interval, maxListInterval) {
-			sleepJittered(ctx, interval)
+			if f.sleepUnlessRestored(ctx, interval) {
+				interval = minListInterval
+			}
 			f.listInstances(ctx)
 		}
 	})
 }
 
+// sleepUnlessRestored waits like sleepJittered, but only shortly once the store was restored.
+// It reports whether it was.
+func (f *Follower) sleepUnlessRestored(ctx context.Context, mean time.Duration) bool {
+	f.mu.Lock()
+	restored := f.restored
+	f.mu.Unlock()
+	waitCtx, cancel := context.WithTimeout(ctx, mean/2+rand.N(mean))
+	defer cancel()
+	select {
+	case <-restored:
+		sleepJittered(ctx, minRetryDelay)
+		return true
+	case <-waitCtx.Done():
+		return false
+	}
+}
+
+// keepRegistered registers this daemon again if it is missing from the instances of an era
+// in which it has not registered, until ctx ends.
+func (f *Follower) keepRegistered(ctx context.Context) {
+	for rrunit.Sleep(ctx, registrationInterval) {
+		if f.isForgotten() {
+			f.register(ctx)
+			f.listInstances(ctx)
+		}
+	}
+}
+
+// isForgotten reports whether the store was restored from a copy without this daemon.
+func (f *Follower) isForgotten() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	era := f.instances.Revision().Era()
+	if slices.Contains(f.liveInstances(), f.cfg.Self) {
+		f.registeredEra = max(f.registeredEra, era)
+	}
+	return f.registeredEra > 0 && era > f.registeredEra
+}
+
 // listOnce lists tables and searchers immediately, so that a daemon that starts while
 // callers wait need not choose sources first.
 func (f *Follower) listOnce(ctx context.Context) {
@@ -185,17 +232,19 @@
 }
 
 // applyStoreChanges applies changes read from the store. Entries that vanish shortly
-// after a failed call are marked as RemovalUncertain.
+// after a failed call, or with a restore of the store, are marked as RemovalUncertain.
 func applyStoreChanges[K ~string, V any](f *Follower, kind storeKind, c *rrobject.Changes[K, V], wrap func(*rrcatalog.Delta[K, V]) *rrpeer.FeedChanges) {
 	for _, d := range c.Invalid {
 		f.cfg.Log.Failure("object not taken", "kind", kind, "name", d.Name, "revision", c.Delta.Revision, "err", d.Err)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if known := f.revisionOf(kind); c.Delta.Revision < known {
+	known := f.revisionOf(kind)
+	if c.Delta.Revision < known {
 		f.cfg.Log.Failure("older state not taken", "kind", kind, "revision", c.Delta.Revision, "known", known)
 	}
-	if f.lastStoreFailure > 0 && f.clock().Sub(f.lastStoreFailure) < storeFailureWindow {
+	isRestored := known > 0 && c.Delta.Revision.Era() > known.Era()
+	if isRestored || f.lastStoreFailure > 0 && f.clock().Sub(f.lastStoreFailure) < storeFailureWindow {
 		c.Delta.RemovalUncertain = true
 		for k, e := range c.Delta.Entries {
 			if e.Removed {
--- a/internal/port/rrobject/rrobject.go
+++ b/internal/port/rrobject/rrobject.go
@@ -46,7 +46,7 @@
 	Tables() Collection[rrcatalog.TableName, rrroute.Table]
 	Searchers() Collection[rrunit.SearcherID, rrcatalog.Searcher]
 	Instances() Collection[rrunit.InstanceID, rrcatalog.Instance]
-	// Register adds the daemon to the instances. It may have taken effect even if
-	// it returns an error; it is idempotent.
-	Register(ctx context.Context, i rrcatalog.Instance) error
+	// Register adds the daemon to the instances and returns the store's era. It may have
+	// taken effect even if it returns an error; it is idempotent.
+	Register(ctx context.Context, i rrcatalog.Instance) (rrcatalog.Era, error)
 }
