Do not believe a restored store that a leaving searcher is ready

A searcher that drained, or whose entry had been removed, got requests again once the store had come back from a copy that says that it is ready; it need not write its entry again, as it has left. What a daemon knows of an incarnation that had begun to leave now holds until that searcher writes its entry again, or until the entry is still there 5 s later, when the store would have removed that of a searcher that is silent.

--- a/internal/app/rrfollow/rrfollow.go
+++ b/internal/app/rrfollow/rrfollow.go
@@ -239,7 +239,11 @@
 		f.tables = f.tables.With(*changes.Tables)
 	}
 	if changes.Searchers != nil {
+		before := f.searchers
 		f.searchers = f.searchers.With(*changes.Searchers)
+		if before.Revision() > 0 && f.searchers.Revision().Era() > before.Revision().Era() {
+			f.expiry.RecordRestore(f.clock(), before, f.searchers)
+		}
 	}
 	if changes.Instances != nil {
 		f.instances = f.instances.With(*changes.Instances)
