--- a/internal/domain/rrcatalog/rrcatalog.go
+++ b/internal/domain/rrcatalog/rrcatalog.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"strings"
 
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrroute"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
@@ -27,7 +28,7 @@
 	Service rrunit.ServiceName `json:"service"`
 	Address netip.AddrPort     `json:"address"`
 	Zone    rrunit.Zone        `json:"zone"`
-	// Slots is the number of requests that it runs concurrently; above 0.
+	// Slots is the number of requests that it runs concurrently, from 1 to maxSlots.
 	Slots int           `json:"slots"`
 	State SearcherState `json:"state"`
 	// WarmupLeft is the remaining time of its warm-up, during which it is slow.
@@ -36,19 +37,37 @@
 	Incarnation int64 `json:"born"`
 }
 
+// maxSlots bounds the slots that a searcher may name, so that sums of them don't overflow.
+const maxSlots = 1 << 20
+
+func checkSearcherID(id rrunit.SearcherID) error {
+	if id == "" {
+		return rrunit.Invalid("id", "is missing")
+	}
+	if strings.ContainsFunc(string(id), isNotHeaderText) {
+		return rrunit.Invalid("id", "%q has characters that a header field can't hold", id)
+	}
+	return nil
+}
+
+// isNotHeaderText reports whether a header field's value can't hold the character between
+// others.
+func isNotHeaderText(r rune) bool { return r <= ' ' || r > '~' }
+
 // Check returns an error that names the first invalid field.
 func (s *Searcher) Check() error {
+	if err := checkSearcherID(s.ID); err != nil {
+		return err
+	}
 	switch {
-	case s.ID == "":
-		return rrunit.Invalid("id", "is missing")
 	case s.Service == "":
 		return rrunit.Invalid("service", "is missing")
-	case !s.Address.IsValid() || s.Address.Port() == 0:
+	case !s.Address.IsValid() || s.Address.Port() == 0 || s.Address.Addr().IsUnspecified():
 		return rrunit.Invalid("address", "%q is not an IP number and a port", s.Address)
 	case s.Zone == "":
 		return rrunit.Invalid("zone", "is missing")
-	case s.Slots <= 0:
-		return rrunit.Invalid("slots", "%d is not above 0", s.Slots)
+	case s.Slots <= 0 || s.Slots > maxSlots:
+		return rrunit.Invalid("slots", "%d is not between 1 and %d", s.Slots, maxSlots)
 	case s.State != SearcherReady && s.State != SearcherDraining:
 		return rrunit.Invalid("state", "%q is not a state", s.State)
 	case s.WarmupLeft < 0:
--- a/internal/test/rrplatform/change_test.go
+++ b/internal/test/rrplatform/change_test.go
@@ -1,6 +1,7 @@
 package rrplatform_test
 
 import (
+	"encoding/json"
 	"net"
 	"net/http"
 	"net/netip"
@@ -249,3 +250,33 @@
 		must.Eq(t, 0, d.ready(), must.Sprint(name))
 	}
 }
+
+// Odd entries of another writer among those of the searchers must not keep the daemons from
+// following the list, or end them.
+func TestOddEntriesStopTheList(t *testing.T) {
+	f := newFleet(t)
+	daemons := []*daemon{f.start("d1", "a"), f.start("d2", "b")}
+	entry := func(change string) json.RawMessage {
+		spec, err := json.Marshal(f.searchersOf("one")[0].EntrySpec("a", standin.StateReady))
+		must.NoError(t, err)
+		return json.RawMessage(strings.TrimSuffix(string(spec), "}") + "," + change + "}")
+	}
+	for name, spec := range map[string]json.RawMessage{
+		"deep":   json.RawMessage(strings.Repeat("[", 50_000) + strings.Repeat("]", 50_000)),
+		"number": entry(`"concurrency-limit":1e400`),
+		"slots":  entry(`"concurrency-limit":9223372036854775807`),
+		"warmup": entry(`"warmup-left-ms":1e300`),
+		"port":   entry(`"address":"127.0.0.1:70000"`),
+		"born":   entry(`"born":-1e99`),
+	} {
+		f.store.PutRaw("servers", "odd-"+name, spec)
+	}
+	f.extraServices = []string{"late"}
+	f.addSearcher("late", "a")
+	f.putConfig(func(routes map[string]map[string]any) { routes["late"] = defaultRouting.Route("late", "late", true) })
+	for _, d := range daemons {
+		f.eventually("new searcher is used", func() bool { return d.get("/late/").status == http.StatusOK })
+	}
+	late := f.start("d3", "a")
+	must.Eq(t, http.StatusOK, late.get("/late/").status)
+}
