--- a/internal/adapter/rrconn/rrconn_test.go
+++ b/internal/adapter/rrconn/rrconn_test.go
@@ -255,6 +255,29 @@
 	must.False(t, res.Outcome.NotRun())
 }
 
+// An answer that ends in the middle of its head, at any byte, is no answer: without the rest
+// of the head its body would seem empty, or to end with the connection.
+func TestHeadThatBreaksOff(t *testing.T) {
+	for _, body := range []string{"Content-Length: 5\r\n\r\nhello", "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "Connection: close\r\n\r\nhello"} {
+		answer := "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Sign: s\r\n" + body
+		cut := 0
+		_, to := serve(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+			if _, _, err := read(r); err == nil {
+				_, _ = io.WriteString(conn, answer[:cut])
+			}
+		})
+		c := newClient(t)
+		for cut = range strings.Index(answer, "\r\n\r\n") + len("\r\n\r\n") {
+			res := forward(t, c, to, newRequest("1"))
+			must.NotEq(t, rrupstream.OutcomeAnswered, res.Outcome, must.Sprintf("%q", answer[:cut]))
+			must.False(t, res.Outcome.NotRun())
+			must.Zero(t, res.Status)
+		}
+		cut = len(answer)
+		must.Eq(t, rrupstream.OutcomeAnswered, forward(t, c, to, newRequest("1")).Outcome)
+	}
+}
+
 func TestDeadSearcher(t *testing.T) {
 	s, to := serve(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
 		if _, _, err := read(r); err == nil {
