Answer late requests of a planned stop instead of cutting them

In a planned stop a request that came late in the grace was passed on, and cut without an answer at its end: one whose body had arrived 2.3 s into a grace of 3 s, and one that was under way at the end (TestStopCutsLateRequests failed before: unexpected EOF).

A daemon that leaves now refuses at once, not run, what it can't expect to answer before it stops, by the route's target, and answers what is under way half a second before the end of the grace: 503 if it was sent to no searcher, a gathered request with the shards that are in where they suffice, 502 otherwise. Connections close 0.2 s later.

--- a/internal/app/rrgateway/gather.go
+++ b/internal/app/rrgateway/gather.go
@@ -110,6 +110,8 @@
 			r.logService(r.route.Shards[res.index], &res.result, res.result.Reason != rrquery.ReasonNone)
 			state.add(res.index, res.result)
 		case <-timer.C:
+		case <-r.gateway.stopped:
+			return state.core.Decide(r.deadline), false
 		case <-ctx.Done():
 			return rrgather.DecisionFail, true
 		}
--- a/internal/app/rrgateway/rrgateway.go
+++ b/internal/app/rrgateway/rrgateway.go
@@ -57,11 +57,18 @@
 	// tableReady is closed when the first routing table arrives.
 	tableReady     chan struct{}
 	tableReadyOnce sync.Once
+	// stopAt is the rrunit.Instant at which the daemon stops serving, zero until that is
+	// known; stopped is closed then.
+	stopAt  atomic.Int64
+	stopped chan struct{}
 }
 
 // New returns a gateway that offers requests to the dispatchers.
 func New(dispatchers *rrdispatchers.Dispatchers, headers rrforward.HeaderNames, logger *rrlog.Log, metrics *rrmetrics.GatewayMetrics) *Gateway {
-	return &Gateway{dispatchers: dispatchers, log: logger, metrics: metrics, clock: dispatchers.Clock(), headers: headers, tableReady: make(chan struct{})}
+	return &Gateway{
+		dispatchers: dispatchers, log: logger, metrics: metrics, clock: dispatchers.Clock(), headers: headers,
+		tableReady: make(chan struct{}), stopped: make(chan struct{}),
+	}
 }
 
 // Update applies a new catalog of the platform.
@@ -129,9 +136,12 @@
 		run.job.Target = run.targetTime()
 	}
 	var answer *Answer
-	if route.IsScatterGather() {
+	switch {
+	case run.isTooLate():
+		answer = stopAnswer(false)
+	case route.IsScatterGather():
 		answer = run.serveGather(ctx)
-	} else {
+	default:
 		answer = run.serveSingle(ctx)
 	}
 	run.took = g.clock().Sub(call.Arrived)
@@ -192,6 +202,8 @@
 	case <-timer.C:
 		cancel(false)
 		return &Answer{Status: http.StatusGatewayTimeout, Reason: rrquery.ReasonDeadline}
+	case <-r.gateway.stopped:
+		return stopAnswer(len(cancel(false).Trace) > 0)
 	}
 }
 
--- a/internal/app/rrnode/rrnode.go
+++ b/internal/app/rrnode/rrnode.go
@@ -54,8 +54,10 @@
 	// deregistrationDelay is how long the load balancer takes to stop sending new
 	// connections: two readiness probes, one per second, and their network latency.
 	deregistrationDelay = 2300 * time.Millisecond
-	// stopMargin is reserved at the end of the grace period.
-	stopMargin = 500 * time.Millisecond
+	// stopMargin before the end of the grace period, all requests are answered, and
+	// closeMargin before it, all connections are closed.
+	stopMargin  = 500 * time.Millisecond
+	closeMargin = 300 * time.Millisecond
 )
 
 // Limits of the callers' listener until there is a routing table.
@@ -249,8 +251,9 @@
 	start := time.Now()
 	n.leaving.Store(true)
 	n.log.StateChange("leaving", "grace", n.settings.Bounds.GracePeriod)
+	n.gateway.StopAt(n.gateway.Now().Add(n.settings.Bounds.GracePeriod - stopMargin))
 	time.Sleep(n.deregistrationDelay())
-	remaining := n.settings.Bounds.GracePeriod - stopMargin - time.Since(start)
+	remaining := n.settings.Bounds.GracePeriod - closeMargin - time.Since(start)
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	if err := callers.Drain(ctx); err != nil {
--- a/internal/test/rrplatform/stop_test.go
+++ b/internal/test/rrplatform/stop_test.go
@@ -77,3 +77,45 @@
 		t.Fatal("daemon did not stop within the grace period")
 	}
 }
+
+// A request whose body arrives late in the grace period is not passed on to a searcher that
+// can't answer it before the daemon ends, and what is still under way then is answered, not
+// cut.
+func TestStopCutsLateRequests(t *testing.T) {
+	f := newFleet(t)
+	d := f.start("d1", "a")
+	for _, s := range f.searchersOf("one") {
+		s.SetProcessingTime(1500 * time.Millisecond)
+	}
+	late, slow := d.openConn(t), d.openConn(t)
+	const head = "POST /once/late HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: late\r\nX-Time-Budget-Ms: 4000\r\nContent-Length: 4\r\n\r\n"
+	start := time.Now()
+	d.stop()
+	// The grace period is 3 s.
+	time.Sleep(time.Second)
+	_, err := io.WriteString(late.conn, head+"bo")
+	must.NoError(t, err)
+	time.Sleep(400 * time.Millisecond)
+	must.NoError(t, slow.send("/one/slow"))
+	time.Sleep(900 * time.Millisecond)
+	_, err = io.WriteString(late.conn, "dy")
+	must.NoError(t, err)
+
+	a, closes := late.receive()
+	must.NoError(t, a.err)
+	must.Eq(t, http.StatusServiceUnavailable, a.status)
+	must.NotEq(t, "", a.header.Get("Retry-After"))
+	must.True(t, closes)
+	must.Less(t, 2500*time.Millisecond, time.Since(start), must.Sprint("a request that can't be served waits for its refusal"))
+
+	a, closes = slow.receive()
+	must.NoError(t, a.err)
+	must.Eq(t, http.StatusBadGateway, a.status)
+	must.True(t, closes)
+	must.Less(t, 3*time.Second, time.Since(start))
+	for _, s := range f.searchersOf("one") {
+		for _, run := range s.Runs() {
+			must.NotEq(t, "late", run.ID)
+		}
+	}
+}
