Send nothing more to searchers that say that they leave

The daemon that gets such an answer closes that process of the searcher for all new attempts: first ones, retries, hedges, trials and parts, until another process starts under the id; neither the list nor other daemons reopen it. It tells the daemons of its zone with the evidence; older ones ignore the field. Where only leaving searchers are left, requests are refused at once. A value other than 1 marks nothing, is counted and logged once a searcher, and so does an answer of another searcher at the address (421).

--- a/internal/adapter/rrconn/exchange.go
+++ b/internal/adapter/rrconn/exchange.go
@@ -184,6 +184,7 @@
 	}
 	out.Load, out.LoadErr = parseLoad(res.header.Get(c.fields.Load))
 	out.RequestLimit, out.RequestLimitErr = c.decodeLimit(res.header)
+	out.Notice, out.NoticeErr = c.decodeNotice(res.status, res.header)
 	if out.Outcome != rrupstream.OutcomeAnswered {
 		out.Err = eris.Errorf("status %d", res.status)
 	}
--- a/internal/adapter/rrconn/rrconn.go
+++ b/internal/adapter/rrconn/rrconn.go
@@ -35,7 +35,9 @@
 	fields rrforward.HeaderNames
 	// decodeLimit decodes the request limit that a response names.
 	decodeLimit rrforward.LimitDecoder
-	dialer      net.Dialer
+	// decodeNotice decodes what a response says of further requests.
+	decodeNotice rrforward.NoticeDecoder
+	dialer       net.Dialer
 
 	// mu guards pools.
 	mu    sync.Mutex
@@ -52,6 +54,15 @@
 // Option configures a Client.
 type Option func(*Client)
 
+// WithNoticeDecoder sets the decoder of searchers' notices. Without it they are ignored.
+func WithNoticeDecoder(decode rrforward.NoticeDecoder) Option {
+	return func(c *Client) {
+		if decode != nil {
+			c.decodeNotice = decode
+		}
+	}
+}
+
 // WithLimitDecoder sets the decoder of the request limits that searchers name. Without
 // it, or if it is nil, no response has one.
 func WithLimitDecoder(decode rrforward.LimitDecoder) Option {
@@ -65,10 +76,11 @@
 // New returns a client for searchers that use the given header fields.
 func New(fields rrforward.HeaderNames, opts ...Option) *Client {
 	c := &Client{
-		fields:      fields,
-		decodeLimit: func(http.Header) (*rrunit.Rate, error) { return nil, nil },
-		dialer:      net.Dialer{Timeout: dialTimeout, KeepAlive: -1},
-		pools:       make(map[rrunit.SearcherID]*pool),
+		fields:       fields,
+		decodeLimit:  func(http.Header) (*rrunit.Rate, error) { return nil, nil },
+		decodeNotice: func(int, http.Header) (rrforward.Notice, error) { return rrforward.Notice{}, nil },
+		dialer:       net.Dialer{Timeout: dialTimeout, KeepAlive: -1},
+		pools:        make(map[rrunit.SearcherID]*pool),
 	}
 	for _, opt := range opts {
 		opt(c)
--- a/internal/app/rrcommand/platform.go
+++ b/internal/app/rrcommand/platform.go
@@ -50,6 +50,7 @@
 				Store:         store,
 				HeaderNames:   platform.Fields(),
 				DecodeLimit:   platform.DecodeLimit,
+				DecodeNotice:  platform.DecodeNotice,
 				ReadinessPath: platform.ReadinessPath,
 				ReloadSignals: reloadSignals,
 				Reload:        func() (*rrsettings.GatewaySettings, error) { return platform.LoadSettings(path) },
--- a/internal/app/rrdispatchers/evidence.go
+++ b/internal/app/rrdispatchers/evidence.go
@@ -12,7 +12,7 @@
 
 // TakeEvidence returns the outcomes of requests since the last call at searchers that
 // failed some of them, or that reported much more load than usual, and the changes of
-// searchers' request limits.
+// searchers' request limits, and which searchers have said that they leave.
 func (p *Dispatchers) TakeEvidence() []rrpeer.SearcherEvidence {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
@@ -32,6 +32,9 @@
 				Service: name, Searcher: id, Limit: &rrpeer.LimitReport{Age: rrpeer.NewAge(now.Sub(r.At)), Limit: r.Limit},
 			})
 		})
+		d.core.TakeLeaving(func(id rrunit.SearcherID) {
+			out = append(out, rrpeer.SearcherEvidence{Service: name, Searcher: id, Leaving: true})
+		})
 		d.mu.Unlock()
 	}
 	return out
@@ -54,6 +57,9 @@
 			observed.Report = rrestimate.Report{Load: t.Requests, Slowdown: float64(t.SlowdownPercent) / percentPerUnit}
 			observed.ReportedAt = now.Add(-t.Age.Std())
 		}
+		if m.Leaving {
+			d.recordPeerLeaving(m.Searcher)
+		}
 		d.mu.Lock()
 		d.core.MergeObservations(now, m.Searcher, observed)
 		if l := m.Limit; l != nil {
--- a/internal/app/rrexplain/rrexplain.go
+++ b/internal/app/rrexplain/rrexplain.go
@@ -271,6 +271,9 @@
 	if l["limit"] != "" {
 		return fmt.Sprintf("%s named a limit of %s requests a second", l["searcher"], l["limit"])
 	}
+	if l["msg"] == "searcher leaves" {
+		return l["searcher"] + " said that it leaves"
+	}
 	return fmt.Sprintf("%s was taken to be %s", l["searcher"], strings.TrimPrefix(l["msg"], "searcher "))
 }
 
--- a/internal/app/rrnode/rrnode.go
+++ b/internal/app/rrnode/rrnode.go
@@ -39,6 +39,8 @@
 	HeaderNames rrforward.HeaderNames
 	// DecodeLimit decodes the request limit in a searcher's response.
 	DecodeLimit rrforward.LimitDecoder
+	// DecodeNotice decodes what a searcher's response says of further requests.
+	DecodeNotice rrforward.NoticeDecoder
 	// ReadinessPath is the path of the load balancer's readiness probe.
 	ReadinessPath string
 	// Reload reads the settings again.
@@ -97,7 +99,7 @@
 	}
 	controlClients := rrlink.NewControlClients(codec, rrlink.WithMeter(peerTrafficMeter{n.metrics}))
 	defer controlClients.Close()
-	n.forwarder = rrconn.New(n.platform.HeaderNames, rrconn.WithLimitDecoder(n.platform.DecodeLimit))
+	n.forwarder = rrconn.New(n.platform.HeaderNames, rrconn.WithLimitDecoder(n.platform.DecodeLimit), rrconn.WithNoticeDecoder(n.platform.DecodeNotice))
 	defer n.forwarder.Close()
 	n.build(workCtx, controlClients)
 	peers := grpc.NewServer(append(rrlink.ServerOptions(codec), rrlink.MeterOption(peerTrafficMeter{n.metrics}))...)
--- a/internal/domain/rrpeer/evidence.go
+++ b/internal/domain/rrpeer/evidence.go
@@ -19,6 +19,8 @@
 	Load *LoadReport `json:"told,omitempty"`
 	// Limit is the request limit that the searcher named, nil unless that has changed.
 	Limit *LimitReport `json:"limit,omitempty"`
+	// Leaving is set if the searcher has said that it leaves.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // LimitReport is the request limit that a searcher named some time ago.
--- a/internal/policy/rrdispatch/searcher.go
+++ b/internal/policy/rrdispatch/searcher.go
@@ -118,6 +118,9 @@
 	refusedDrainingAt rrunit.Instant
 	// leaving is set if the platform lists the searcher as leaving.
 	leaving bool
+	// saidLeaving is set once the searcher said in an answer that it leaves, and
+	// leavingUnshared until the other daemons of the zone are told.
+	saidLeaving, leavingUnshared bool
 
 	// hasReport is set if versions is from a load report. Otherwise it has the version of
 	// the last answer.
@@ -159,7 +162,9 @@
 }
 
 // isClosed reports whether the searcher gets no new jobs at all.
-func (w *searcher) isClosed() bool { return w.reportedDraining || w.refusedDraining || w.leaving }
+func (w *searcher) isClosed() bool {
+	return w.reportedDraining || w.refusedDraining || w.leaving || w.saidLeaving
+}
 
 // connectTime returns the time that one more attempt needs to open a connection.
 func (w *searcher) connectTime() rrunit.Duration {
--- a/internal/port/rrforward/rrforward.go
+++ b/internal/port/rrforward/rrforward.go
@@ -80,6 +80,10 @@
 	// latter case, RequestLimitErr is the error.
 	RequestLimit    *rrunit.Rate
 	RequestLimitErr error
+	// Notice is what the searcher says of itself. What is not readable is left out, and
+	// NoticeErr is the error.
+	Notice    Notice
+	NoticeErr error
 	// NewConnection is true if a new connection was opened for the attempt.
 	NewConnection bool
 }
@@ -93,6 +97,16 @@
 // together, by the header of its response; nil if the response names none.
 type LimitDecoder func(http.Header) (*rrunit.Rate, error)
 
+// Notice is what a searcher says of the requests that it wants from a daemon.
+type Notice struct {
+	// Leaving is set if it wants no more, as it leaves.
+	Leaving bool
+}
+
+// NoticeDecoder returns the notice in a searcher's answer, by its status and header. It
+// returns the readable part with an error.
+type NoticeDecoder func(status int, header http.Header) (Notice, error)
+
 // Forwarder sends requests to searchers.
 type Forwarder interface {
 	// Forward runs one attempt. It returns when the response is complete, the time
--- a/internal/test/rrplatform/fleet_test.go
+++ b/internal/test/rrplatform/fleet_test.go
@@ -201,7 +201,7 @@
 	store := platform.NewStore(f.address)
 	logger := rrlog.New(d.logs)
 	n := rrnode.New(d.settings, rrnode.Platform{
-		Store: store, HeaderNames: platform.Fields(), DecodeLimit: platform.DecodeLimit, ReadinessPath: platform.ReadinessPath,
+		Store: store, HeaderNames: platform.Fields(), DecodeLimit: platform.DecodeLimit, DecodeNotice: platform.DecodeNotice, ReadinessPath: platform.ReadinessPath,
 		Reload: func() (*rrsettings.GatewaySettings, error) { return d.settings, nil },
 	}, logger)
 	return n, func() {
