Keep the pauses that searchers ask for

A searcher that refused with 503 and Retry-After got requests all the same: 461 from two daemons in the 2.5 s that followed the first half second, of 4 allowed (TestPausedSearcherIsUsed failed before).

The refusal counts neither as a failure nor as overload of that searcher. Where all searchers are paused, a request is refused at once, with the end of the first pause, if that comes too late for it, and waits otherwise (TestAllSearchersPaused). A retry looks for room after a new round has cleared the searchers tried, no longer before: a job whose searchers were all paused waited for its deadline in vain, and so it was with limits.

--- a/internal/app/rrdispatchers/dispatcher.go
+++ b/internal/app/rrdispatchers/dispatcher.go
@@ -368,7 +368,7 @@
 	d.core.SetIdleConnections(d.idle)
 	d.recordLoad(now, at)
 	d.recordLimit(now, at)
-	d.recordNotice(at)
+	d.recordNotice(now, at)
 	return d.core.Finish(now, id, res.Outcome)
 }
 
--- a/internal/app/rrdispatchers/notice.go
+++ b/internal/app/rrdispatchers/notice.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"rhubarbreel.example/rhubarbreel/internal/app/rrmetrics"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrdispatch"
 )
@@ -15,7 +16,7 @@
 
 // recordNotice passes what the searcher said of further requests to the core. The caller
 // holds mu.
-func (d *dispatcher) recordNotice(at *attempt) {
+func (d *dispatcher) recordNotice(now rrunit.Instant, at *attempt) {
 	res := &at.response
 	if res.Status == http.StatusMisdirectedRequest {
 		// The answer is of another searcher, at the same address.
@@ -27,6 +28,12 @@
 	if res.Notice.Leaving && d.core.RecordLeaving(at.searcher, true) {
 		d.logLeaving(at.searcher, sourceAnswer)
 	}
+	if pause := res.Notice.Pause; pause > 0 {
+		d.parent.metrics.Count(rrmetrics.GroupPauses, string(d.name))
+		if d.core.RecordPause(now, at.searcher, pause) {
+			d.parent.log.StateChange("searcher paused", "service", d.name, "searcher", at.searcher, "for", pause, "id", at.job.Request.ID)
+		}
+	}
 }
 
 // recordPeerLeaving records that a searcher said to another daemon that it leaves.
--- a/internal/app/rrexplain/rrexplain.go
+++ b/internal/app/rrexplain/rrexplain.go
@@ -75,6 +75,8 @@
 	CauseRefused Cause = "refused"
 	// CauseLimited means that the request limits that searchers name left no room.
 	CauseLimited Cause = "limited"
+	// CausePaused means that all searchers had asked for a pause.
+	CausePaused Cause = "paused"
 	// CauseSlow means that searchers were slow or stalled.
 	CauseSlow Cause = "slow"
 	// CauseLost means that a searcher or its answer was lost.
@@ -188,6 +190,8 @@
 		return CauseRefused
 	case "limited":
 		return CauseLimited
+	case "paused":
+		return CausePaused
 	case "quarantine":
 		return CauseQuarantine
 	case "cancelled":
@@ -211,7 +215,7 @@
 		}
 	}
 	best := CauseUnknown
-	for _, c := range []Cause{CauseSlow, CauseLost, CauseRefused, CauseLimited, CauseNoSearcher} {
+	for _, c := range []Cause{CauseSlow, CauseLost, CauseRefused, CauseLimited, CausePaused, CauseNoSearcher} {
 		if counts[c] > counts[best] {
 			best = c
 		}
@@ -231,6 +235,8 @@
 		return CauseRefused
 	case "limited":
 		return CauseLimited
+	case "paused":
+		return CausePaused
 	case "lost":
 		return CauseLost
 	default:
@@ -271,8 +277,11 @@
 	if l["limit"] != "" {
 		return fmt.Sprintf("%s named a limit of %s requests a second", l["searcher"], l["limit"])
 	}
-	if l["msg"] == "searcher leaves" {
+	switch l["msg"] {
+	case "searcher leaves":
 		return l["searcher"] + " said that it leaves"
+	case "searcher paused":
+		return l["searcher"] + " asked for a pause of " + l["for"]
 	}
 	return fmt.Sprintf("%s was taken to be %s", l["searcher"], strings.TrimPrefix(l["msg"], "searcher "))
 }
--- a/internal/app/rrmetrics/gateway.go
+++ b/internal/app/rrmetrics/gateway.go
@@ -60,6 +60,8 @@
 	// GroupLimited counts attempts at searchers that named a request limit, by service
 	// and whether the attempt was the first of its request.
 	GroupLimited Group = "limited"
+	// GroupPauses counts refusals of searchers that asked for a pause, by service.
+	GroupPauses Group = "pauses"
 	// GroupCrashChecks counts attempts whose connection was lost, by what the check of
 	// the searcher found.
 	GroupCrashChecks Group = "losses"
@@ -86,7 +88,7 @@
 		latencies: make(map[Group]map[string]*latencyWindow),
 	}
 	for _, g := range []Group{
-		GroupRequests, GroupDegraded, GroupAttempts, GroupExtraAttempts, GroupConnections, GroupPreconnects, GroupStore, GroupPeerCalls, GroupEvidence, GroupUnreadableLoads, GroupLimited, GroupCrashChecks, GroupSearcherStatus,
+		GroupRequests, GroupDegraded, GroupAttempts, GroupExtraAttempts, GroupConnections, GroupPreconnects, GroupStore, GroupPeerCalls, GroupEvidence, GroupUnreadableLoads, GroupLimited, GroupPauses, GroupCrashChecks, GroupSearcherStatus,
 		GroupPeerBytes, GroupPeerConnections,
 	} {
 		m.groups[g] = new(expvar.Map)
--- a/internal/domain/rrquery/answer.go
+++ b/internal/domain/rrquery/answer.go
@@ -46,6 +46,8 @@
 	ReasonRejected   Reason = "rejected"
 	// ReasonLimited means that the request limits that the searchers name leave no room.
 	ReasonLimited Reason = "limited"
+	// ReasonPaused means that all searchers have asked for a pause that is too long.
+	ReasonPaused Reason = "paused"
 	// ReasonMalformed and ReasonNoRoute refuse a request before it is routed.
 	ReasonMalformed Reason = "malformed"
 	ReasonNoRoute   Reason = "noroute"
@@ -123,7 +125,7 @@
 
 func refusedStatus(reason Reason) int {
 	switch reason {
-	case ReasonOverload, ReasonLimited:
+	case ReasonOverload, ReasonLimited, ReasonPaused:
 		return http.StatusTooManyRequests
 	case ReasonDuplicate:
 		return http.StatusConflict
--- a/internal/policy/rrdispatch/finish.go
+++ b/internal/policy/rrdispatch/finish.go
@@ -84,7 +84,6 @@
 func (s *Shard) retry(now rrunit.Instant, j *job, outcome rrupstream.Outcome, freeReset bool) {
 	s.queue.Remove(&j.entry)
 	j.hedgeAt = 0
-	limitWait, isLimited := s.limitWait(now, j.Rank, s.laneOf(j))
 	switch {
 	case now >= j.Deadline:
 		s.reply(j, rrquery.ReasonDeadline, 0)
@@ -94,14 +93,37 @@
 		s.replyUnservable(now, j)
 	case !s.canServe(now, s.laneOf(j)) && !s.startRound(now, j):
 		s.replyUnservable(now, j)
-	case isLimited && now.Add(limitWait) > s.latestUsefulStart(now, j):
-		s.reply(j, rrquery.ReasonLimited, limitWait)
-	case !freeReset && !s.chargeRetry(j, outcome):
-		s.replyUnservable(now, j)
 	default:
-		s.setQueueDeadline(now, j)
-		s.enqueue(j, true)
+		s.resend(now, j, outcome, freeReset)
+	}
+}
+
+// resend queues a job for another attempt, or replies at once if none can start in time or
+// the budget is spent.
+func (s *Shard) resend(now rrunit.Instant, j *job, outcome rrupstream.Outcome, freeReset bool) {
+	if reason, wait := s.capacityRefusal(now, j); reason != rrquery.ReasonNone {
+		s.reply(j, reason, wait)
+		return
+	}
+	if !freeReset && !s.chargeRetry(j, outcome) {
+		s.replyUnservable(now, j)
+		return
 	}
+	s.setQueueDeadline(now, j)
+	s.enqueue(j, true)
+}
+
+// capacityRefusal returns whether the pauses or the request limits of the searchers leave a
+// job no attempt in time, and the time after which to try again.
+func (s *Shard) capacityRefusal(now rrunit.Instant, j *job) (rrquery.Reason, time.Duration) {
+	if reason, wait := s.pauseRefusal(now, j); reason != rrquery.ReasonNone {
+		return reason, wait
+	}
+	wait, isLimited := s.limitWait(now, j.Rank, s.laneOf(j))
+	if isLimited && now.Add(wait) > s.latestUsefulStart(now, j) {
+		return rrquery.ReasonLimited, wait
+	}
+	return rrquery.ReasonNone, 0
 }
 
 // chargeRetry takes a retry from the budget and reports whether it could. An attempt that
@@ -209,6 +231,9 @@
 	if at := s.earliestRetry(now, key); at >= j.Deadline {
 		return rrquery.ReasonNoSearcher, at.Sub(now)
 	}
+	if reason, wait := s.pauseRefusal(now, j); reason != rrquery.ReasonNone {
+		return reason, wait
+	}
 	if s.isShared() {
 		// The longest wait predicts little where jobs are served by random priority.
 		return s.limitRefusal(now, j.Rank, key)
--- a/internal/policy/rrdispatch/limit.go
+++ b/internal/policy/rrdispatch/limit.go
@@ -104,10 +104,10 @@
 	return max(w.limit, minRequestLimit) * rrunit.Rate(w.LimitShare)
 }
 
-// hasQuota reports whether the searcher's request limit, if it names one, leaves room for
-// an attempt now.
+// hasQuota reports whether the searcher is not paused, and its request limit, if it names
+// one, leaves room for an attempt now.
 func (w *searcher) hasQuota(now rrunit.Instant) bool {
-	return w.quota == nil || w.quota.Available(now) > 0
+	return !w.isPaused(now) && (w.quota == nil || w.quota.Available(now) > 0)
 }
 
 // spendQuota counts an attempt of the rank that is sent to the searcher.
@@ -118,12 +118,17 @@
 	}
 }
 
-// quotaAt returns when the searcher may have room under its limit; zero if it has.
+// quotaAt returns when the searcher's pause has ended, or it may have room under its limit;
+// zero if it has.
 func (w *searcher) quotaAt(now rrunit.Instant) rrunit.Instant {
-	if w.hasQuota(now) {
+	switch {
+	case w.hasQuota(now):
 		return 0
+	case w.isPaused(now):
+		return w.pausedUntil
+	default:
+		return w.quota.Next(now)
 	}
-	return w.quota.Next(now)
 }
 
 // limitWait returns how long a new job of the lane has to wait because of the request
@@ -132,7 +137,7 @@
 func (s *Shard) limitWait(now rrunit.Instant, rank int, key laneKey) (time.Duration, bool) {
 	quota, rate := 0, rrunit.Rate(0)
 	for _, w := range s.searchers {
-		if key.tried&w.bit != 0 || w.health != healthUp || !w.mayServe(key.version, now) {
+		if key.tried&w.bit != 0 || w.health != healthUp || w.isPaused(now) || !w.mayServe(key.version, now) {
 			continue
 		}
 		if w.quota == nil {
--- a/internal/policy/rrdispatch/outcome.go
+++ b/internal/policy/rrdispatch/outcome.go
@@ -22,8 +22,10 @@
 		w.recordAnswer(now, a.version, now.Sub(a.startedAt))
 		s.suspects.RecordAnswer(a.fingerprint)
 	case rrupstream.OutcomeFailed:
-		w.estimator.RecordFailure(now)
-		s.recordFailure(now, w)
+		if !w.isPaused(now) {
+			w.estimator.RecordFailure(now)
+			s.recordFailure(now, w)
+		}
 		s.suspects.RecordAnswer(a.fingerprint)
 	case rrupstream.OutcomeShed, rrupstream.OutcomeDraining, rrupstream.OutcomeMisdirected, rrupstream.OutcomeWrongSnapshot:
 		s.recordRefusal(now, a, outcome)
@@ -50,6 +52,9 @@
 	w.resets = 0
 	switch outcome {
 	case rrupstream.OutcomeShed:
+		if w.isPaused(now) {
+			return
+		}
 		w.estimator.RecordFailure(now)
 		w.recordShed(now, a.id, s.lastAttempt)
 		return
--- a/internal/policy/rrdispatch/searcher.go
+++ b/internal/policy/rrdispatch/searcher.go
@@ -118,6 +118,8 @@
 	refusedDrainingAt rrunit.Instant
 	// leaving is set if the platform lists the searcher as leaving.
 	leaving bool
+	// pausedUntil is the end of the pause that the searcher asked this daemon for.
+	pausedUntil rrunit.Instant
 	// saidLeaving is set once the searcher said in an answer that it leaves, and
 	// leavingUnshared until the other daemons of the zone are told.
 	saidLeaving, leavingUnshared bool
--- a/internal/policy/rrdispatch/state.go
+++ b/internal/policy/rrdispatch/state.go
@@ -51,6 +51,10 @@
 	// names; nil for none. Quota is how many requests this daemon may send now under it.
 	Limit *rrunit.Rate `json:"limit,omitempty"`
 	Quota int          `json:"quota,omitempty"`
+	// Paused is how much longer it wants no attempts of this daemon.
+	Paused rrunit.Duration `json:"paused,omitempty"`
+	// SaidLeaving is set once it said that it leaves.
+	SaidLeaving bool `json:"saidleaving,omitempty"`
 }
 
 // QuarantineState is a fingerprint whose requests are refused.
@@ -99,5 +103,7 @@
 		FailureRate: rrunit.Share(w.estimator.FailureRate(now)),
 		Limit:       w.namedLimit(),
 		Quota:       quota,
+		Paused:      rrunit.Duration(max(0, w.pausedUntil.Sub(now))),
+		SaidLeaving: w.saidLeaving,
 	}
 }
--- a/internal/port/rrforward/rrforward.go
+++ b/internal/port/rrforward/rrforward.go
@@ -101,6 +101,8 @@
 type Notice struct {
 	// Leaving is set if it wants no more, as it leaves.
 	Leaving bool
+	// Pause is how long it wants none; zero if it does not say.
+	Pause rrunit.Duration
 }
 
 // NoticeDecoder returns the notice in a searcher's answer, by its status and header. It
