Accept what waits in the queue when a drain's deadline has passed

A connection that was opened before a planned stop was reset where the accept loop did not run within 5 ms of the close: after the deadline, net accepts nothing, even if a connection waits. The listener now looks into the kernel's queue once the deadline has passed, and closes only when that is empty. TestDrainResetsTheAcceptQueue failed before (connection reset by peer).

--- a/internal/adapter/rrhttp/drain.go
+++ b/internal/adapter/rrhttp/drain.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 // Times of a server's drain.
@@ -144,18 +145,40 @@
 	return len(s.conns)
 }
 
-// drainListener accepts the connections in the kernel's accept queue until its
-// deadline and then closes, since closing it at once would reset them.
+// drainListener accepts the connections in the kernel's accept queue after its deadline and
+// then closes, since closing it at once would reset them.
 type drainListener struct {
 	*net.TCPListener
 }
 
 // Accept implements net.Listener.
 func (l *drainListener) Accept() (net.Conn, error) {
-	conn, err := l.TCPListener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		_ = l.Close()
-		return nil, net.ErrClosed
+	for {
+		conn, err := l.TCPListener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+		// After the deadline, net accepts nothing, even if a connection waits.
+		if !l.hasWaiting() || l.SetDeadline(time.Now().Add(backlogAcceptTime)) != nil {
+			_ = l.Close()
+			return nil, net.ErrClosed
+		}
 	}
-	return conn, err
+}
+
+// hasWaiting reports whether a connection waits in the kernel's accept queue.
+func (l *drainListener) hasWaiting() bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	err = raw.Control(func(fd uintptr) {
+		n, pollErr := 0, error(unix.EINTR)
+		for errors.Is(pollErr, unix.EINTR) {
+			n, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		}
+		waiting = pollErr == nil && n > 0
+	})
+	return err == nil && waiting
 }
--- a/internal/adapter/rrhttp/drain_test.go
+++ b/internal/adapter/rrhttp/drain_test.go
@@ -26,6 +26,12 @@
 }
 
 func startDrainFixture(t *testing.T) *drainFixture {
+	t.Helper()
+	return startDrainFixtureOn(t, func(l net.Listener) net.Listener { return l })
+}
+
+// startDrainFixtureOn starts the fixture on a listener that wrap returns.
+func startDrainFixtureOn(t *testing.T, wrap func(net.Listener) net.Listener) *drainFixture {
 	t.Helper()
 	s := &drainFixture{release: make(chan struct{}), drained: make(chan error, 1)}
 	s.server = rrhttp.NewDrainable(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -40,7 +46,7 @@
 	must.NoError(t, err)
 	s.address = l.Addr().String()
 	served := make(chan error, 1)
-	go func() { served <- s.server.Serve(s.server.Listener(l)) }()
+	go func() { served <- s.server.Serve(wrap(s.server.Listener(l))) }()
 	t.Cleanup(func() {
 		_ = s.server.Close()
 		must.NoError(t, <-served)
@@ -117,6 +123,36 @@
 	}
 }
 
+// stalledListener accepts nothing until it is released, like a process that gets no processor.
+type stalledListener struct {
+	net.Listener
+	released <-chan struct{}
+}
+
+func (l stalledListener) Accept() (net.Conn, error) {
+	<-l.released
+	return l.Listener.Accept()
+}
+
+// Connections that were opened before the drain are accepted and answered, however late the
+// server gets to accept them.
+func TestDrainResetsTheAcceptQueue(t *testing.T) {
+	released := make(chan struct{})
+	s := startDrainFixtureOn(t, func(l net.Listener) net.Listener { return stalledListener{l, released} })
+	var conns []net.Conn
+	for range 5 {
+		conn := s.dial(t)
+		send(t, conn, "/")
+		conns = append(conns, conn)
+	}
+	s.drain(t.Context())
+	close(released)
+	for _, conn := range conns {
+		must.True(t, receive(t, conn))
+	}
+	must.NoError(t, <-s.drained)
+}
+
 // Connections without a request delay the drain for a bounded time only.
 func TestDrainClosesIdleConnections(t *testing.T) {
 	s := startDrainFixture(t)
