Drain a server only once its listeners are closed

A server that was drained before its accept loop had begun took itself for drained, and reset what waited in the accept queue (TestDrainBeforeServing failed before). It now waits until the listeners are closed, which the accept loop does.

--- a/internal/adapter/rrhttp/drain.go
+++ b/internal/adapter/rrhttp/drain.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,7 +35,6 @@
 // call, also on connections that were just opened.
 type Server struct {
 	*http.Server
-	serving atomic.Int32
 
 	// mu guards listeners and conns, the open connections.
 	mu        sync.Mutex
@@ -70,8 +70,6 @@
 
 // Serve serves until Drain is called or the server is closed.
 func (s *Server) Serve(l net.Listener) error {
-	s.serving.Add(1)
-	defer s.serving.Add(-1)
 	err := s.Server.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
@@ -90,7 +88,7 @@
 	tick := time.NewTicker(drainPollInterval)
 	defer tick.Stop()
 	for {
-		if n := s.limitIdleConns(time.Now()); n == 0 && s.serving.Load() == 0 {
+		if n := s.limitIdleConns(time.Now()); n == 0 && s.listenersClosed() {
 			return s.Shutdown(ctx)
 		}
 		select {
@@ -101,6 +99,14 @@
 	}
 }
 
+// listenersClosed reports whether all listeners are closed. One that is not served yet is
+// open, and connections may wait in its accept queue.
+func (s *Server) listenersClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !slices.ContainsFunc(s.listeners, func(l *drainListener) bool { return !l.closed.Load() })
+}
+
 func (s *Server) stopListening() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -149,6 +155,13 @@
 // then closes, since closing it at once would reset them.
 type drainListener struct {
 	*net.TCPListener
+	closed atomic.Bool
+}
+
+// Close implements net.Listener.
+func (l *drainListener) Close() error {
+	l.closed.Store(true)
+	return l.TCPListener.Close()
 }
 
 // Accept implements net.Listener.
--- a/internal/adapter/rrhttp/drain_test.go
+++ b/internal/adapter/rrhttp/drain_test.go
@@ -153,6 +153,25 @@
 	must.NoError(t, <-s.drained)
 }
 
+// A server that is drained before it has begun to serve answers what waits for it.
+func TestDrainBeforeServing(t *testing.T) {
+	server := rrhttp.NewDrainable(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+	})})
+	l, err := rrhttp.Bind(t.Context(), "tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	listener := server.Listener(l)
+	s := &drainFixture{server: server, address: l.Addr().String(), drained: make(chan error, 1)}
+	conn := s.dial(t)
+	send(t, conn, "/")
+	s.drain(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	must.True(t, receive(t, conn))
+	must.NoError(t, <-s.drained)
+	must.NoError(t, <-served)
+}
+
 // Connections without a request delay the drain for a bounded time only.
 func TestDrainClosesIdleConnections(t *testing.T) {
 	s := startDrainFixture(t)
