--- a/internal/soak/rrsoak/fleet.go
+++ b/internal/soak/rrsoak/fleet.go
@@ -169,6 +169,12 @@
 			return f, err
 		}
 	}
+	// The first daemons had few others to name as seeds, or none.
+	for _, n := range f.daemons {
+		if err := f.writeSettings(n); err != nil {
+			return f, err
+		}
+	}
 	return f, nil
 }
 
