Let quarantines and crashes end that daemons tell each other of

Found on reading the change: each transfer adds its latency to the end of a notice, so that a daemon which had just dropped it learned it again from one that still had it, and the other way round: in TestNoticesEnd without the fix, still 10 s after its end. In a large fleet a quarantine would have lasted for good. What has less than a second left is no longer passed on or taken.

--- a/internal/app/rrfollow/notices.go
+++ b/internal/app/rrfollow/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 )
@@ -16,6 +17,11 @@
 	entries []notice[K]
 }
 
+// minNoticeLeft is the least time left of a notice that is passed on. Each transfer adds its
+// latency to the end, so that daemons would tell each other of a notice again that has just
+// ended, without end.
+const minNoticeLeft = rrunit.Duration(time.Second)
+
 // notice is one of notices, passed on until its end.
 type notice[K any] struct {
 	key   K
@@ -26,7 +32,7 @@
 func (n *notices[K]) add(now rrunit.Instant, key K, left rrunit.Duration) bool {
 	n.entries = slices.DeleteFunc(n.entries, func(e notice[K]) bool { return e.until <= now })
 	i, known := slices.BinarySearchFunc(n.entries, key, func(e notice[K], key K) int { return n.compare(e.key, key) })
-	if known || i >= n.limit {
+	if known || i >= n.limit || left < minNoticeLeft {
 		return false
 	}
 	n.entries = slices.Insert(n.entries, i, notice[K]{key: key, until: now.Add(left.Std())})
@@ -34,11 +40,11 @@
 	return true
 }
 
-// active calls f with the notices that have not ended and that isKnown does not exclude.
+// active calls f with the notices to pass on, without those that the receiver knows.
 func (n *notices[K]) active(now rrunit.Instant, isKnown func(K) bool, f func(key K, left rrunit.Duration)) {
 	for _, e := range n.entries {
-		if left := e.until.Sub(now); left > 0 && !isKnown(e.key) {
-			f(e.key, rrunit.Duration(left))
+		if left := rrunit.Duration(e.until.Sub(now)); left >= minNoticeLeft && !isKnown(e.key) {
+			f(e.key, left)
 		}
 	}
 }
