--- a/internal/test/rrplatform/crash_test.go
+++ b/internal/test/rrplatform/crash_test.go
@@ -114,6 +114,22 @@
 	f.store.Put("servers", s.ID, standin.EntrySpec(s.Service, next.Address(), zone, standin.StateReady, 8, incarnation))
 }
 
+// startDaemons starts a daemon in each zone, with those before it as seeds, and waits until
+// all are ready.
+func (f *fleet) startDaemons(zones ...string) []*daemon {
+	f.t.Helper()
+	var daemons []*daemon
+	var seeds []netip.AddrPort
+	for i, zone := range zones {
+		daemons = append(daemons, f.startUnready(fmt.Sprintf("d%d", i), zone, seeds...))
+		seeds = append(seeds, daemons[i].settings.PeerAddress)
+	}
+	for _, d := range daemons {
+		f.eventually("daemon is ready", func() bool { return d.ready() == http.StatusOK })
+	}
+	return daemons
+}
+
 // load sends requests of different paths to each daemon until the returned function is
 // called.
 func (f *fleet) load(daemons []*daemon, path string) (stop func()) {
@@ -151,13 +167,7 @@
 				for _, s := range f.searchers {
 					f.crashing(s, "a", mode, 1500*time.Millisecond, 1, log)
 				}
-				var daemons []*daemon
-				var seeds []netip.AddrPort
-				for i, zone := range []string{"a", "b", "a", "b"} {
-					d := f.start(fmt.Sprintf("d%d", i), zone, seeds...)
-					seeds = append(seeds, d.settings.PeerAddress)
-					daemons = append(daemons, d)
-				}
+				daemons := f.startDaemons("a", "b", "a", "b")
 				stopLoad := f.load(daemons, path)
 				time.Sleep(1500 * time.Millisecond)
 				for start := time.Now(); time.Since(start) < 8*time.Second; time.Sleep(250 * time.Millisecond) {
@@ -234,12 +244,7 @@
 // lets the request crash searchers again.
 func TestRestartForgetsQuarantines(t *testing.T) {
 	f, log := crashingFleet(t)
-	var daemons []*daemon
-	var seeds []netip.AddrPort
-	for i, zone := range []string{"a", "b", "a", "b"} {
-		daemons = append(daemons, f.start(fmt.Sprintf("d%d", i), zone, seeds...))
-		seeds = append(seeds, daemons[i].settings.PeerAddress)
-	}
+	daemons := f.startDaemons("a", "b", "a", "b")
 	f.eventually("two daemons read the store", func() bool {
 		return len(slices.DeleteFunc(slices.Clone(daemons), func(d *daemon) bool { return !d.isReader() })) == 2
 	})
@@ -251,7 +256,7 @@
 	daemons[i].done <- nil // read by the cleanup
 	before := len(log.all())
 
-	again := f.newDaemon(string(daemons[i].settings.Instance), string(daemons[i].settings.Zone), seeds...)
+	again := f.newDaemon(string(daemons[i].settings.Instance), string(daemons[i].settings.Zone))
 	again.settings = daemons[i].settings
 	f.run(again)
 	f.eventually("daemon serves", func() bool { return again.get("/one/").status == http.StatusOK })
@@ -280,15 +285,7 @@
 		t.Skip("runs 12 daemons")
 	}
 	f, log := crashingFleet(t)
-	var daemons []*daemon
-	var seeds []netip.AddrPort
-	for i := range 12 {
-		daemons = append(daemons, f.startUnready(fmt.Sprintf("d%d", i), []string{"a", "b", "c"}[i%3], seeds...))
-		seeds = append(seeds, daemons[i].settings.PeerAddress)
-	}
-	for _, d := range daemons {
-		f.eventually("daemon is ready", func() bool { return d.ready() == http.StatusOK })
-	}
+	daemons := f.startDaemons(slices.Repeat([]string{"a", "b", "c"}, 4)...)
 	time.Sleep(2 * time.Second)
 	for _, d := range daemons {
 		d.get("/once/" + crashPath)
@@ -314,15 +311,7 @@
 	for range 4 {
 		f.crashing(f.addSearcher("one", "b"), "b", crashCloses, 500*time.Millisecond, 1, log)
 	}
-	var daemons []*daemon
-	var seeds []netip.AddrPort
-	for i := range 6 {
-		daemons = append(daemons, f.startUnready(fmt.Sprintf("d%d", i), []string{"a", "b", "c"}[i%3], seeds...))
-		seeds = append(seeds, daemons[i].settings.PeerAddress)
-	}
-	for _, d := range daemons {
-		f.eventually("daemon is ready", func() bool { return d.ready() == http.StatusOK })
-	}
+	daemons := f.startDaemons(slices.Repeat([]string{"a", "b", "c"}, 2)...)
 	stopLoad := f.load(daemons, "/one/")
 	time.Sleep(time.Second)
 	// Each of the other crashes has a request of its own.
