Find a searcher dead that accepts once more as it ends

The connection that the check opens now has to stay open like an idle one; if it ends, the check connects once more.

--- a/internal/adapter/rrconn/rrconn.go
+++ b/internal/adapter/rrconn/rrconn.go
@@ -120,6 +120,10 @@
 // After that it counts as unreachable, not as dead.
 const probeTimeout = 300 * time.Millisecond
 
+// maxProbes is how many connections a check opens. A process that ends may still accept the
+// first one, as its listener is not the first that it closes.
+const maxProbes = 2
+
 // endsArriveWithin is the time within which the ends of all connections of a process that
 // has ended arrive.
 const endsArriveWithin = 5 * time.Millisecond
@@ -128,14 +132,16 @@
 // pool.
 func (c *Client) IsDead(ctx context.Context, to rrforward.Target) bool {
 	p := c.pool(to)
-	if p.hasOpen(time.Now()) && rrunit.Sleep(ctx, endsArriveWithin) && p.hasOpen(time.Now()) {
-		return false
-	}
-	pc, err := c.dial(ctx, to, time.Now().Add(probeTimeout))
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	for range maxProbes {
+		if p.hasOpen(time.Now()) && rrunit.Sleep(ctx, endsArriveWithin) && p.hasOpen(time.Now()) {
+			return false
+		}
+		pc, err := c.dial(ctx, to, time.Now().Add(probeTimeout))
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		p.put(pc, time.Now())
 	}
-	p.put(pc, time.Now())
 	return false
 }
 
--- a/internal/adapter/rrconn/rrconn_test.go
+++ b/internal/adapter/rrconn/rrconn_test.go
@@ -310,6 +310,16 @@
 	must.True(t, c.IsDead(t.Context(), to))
 }
 
+// A process that ends may accept a connection after it has ended another.
+func TestDeadSearcherAcceptsOnceMore(t *testing.T) {
+	var s *scriptedSearcher
+	s, to := serve(t, func(_ int64, conn net.Conn, _ *bufio.Reader) {
+		_ = s.listener.Close()
+		_ = conn.Close()
+	})
+	must.True(t, newClient(t).IsDead(t.Context(), to))
+}
+
 // When the caller cancels, the attempt ends at once and its connection is closed,
 // which the searcher can detect.
 func TestCancelClosesTheConnection(t *testing.T) {
