--- a/internal/policy/rrdispatch/pause.go
+++ b/internal/policy/rrdispatch/pause.go
@@ -51,11 +51,11 @@
 	return first, found
 }
 
-// pauseRefusal returns whether a job is refused because no searcher wants attempts before
-// the job would be late, and the time after which to try again.
+// pauseRefusal returns whether a job is refused because no searcher wants attempts until it
+// is too late to meet the deadline, and the time after which to try again.
 func (s *Shard) pauseRefusal(now rrunit.Instant, j *job) (rrquery.Reason, time.Duration) {
 	end, ok := s.pauseEnd(now, s.laneOf(j))
-	if !ok || end <= s.latestUsefulStart(now, j) {
+	if !ok || end <= s.latestStart(now, j) {
 		return rrquery.ReasonNone, 0
 	}
 	return rrquery.ReasonPaused, end.Sub(now)
