--- a/internal/test/rrplatform/crash_test.go
+++ b/internal/test/rrplatform/crash_test.go
@@ -238,7 +238,12 @@
 	})
 }
 
-func (d *daemon) isReader() bool { return strings.Contains(d.logs.String(), "cause=reader") }
+// isReader reports whether the daemon reads the store for others now, by its last line on
+// that.
+func (d *daemon) isReader() bool {
+	lines := strings.Split(d.logs.String(), `msg="source of knowledge"`)
+	return len(lines) > 1 && strings.Contains(strings.SplitN(lines[len(lines)-1], "\n", 2)[0], "cause=reader")
+}
 
 // A daemon that starts some seconds after a request was quarantined is not told of it, and
 // lets the request crash searchers again.
