Take daemons that do not know of the store's latest era for out of date

Found on reading the change: a daemon that knows of a restore, or has read a store that names its era, and then follows one that does not (cut from the store since before the restore, or of the old build) was told that nothing had changed and that all was up to date, and stayed without changes until the source learned of the era. Its revisions are lower, so that there is never anything to tell. Answers now name the era that their sender knows of; a source of an earlier one counts as out of date, so that another one or the store is asked.

--- a/internal/app/rrfollow/peers.go
+++ b/internal/app/rrfollow/peers.go
@@ -73,7 +73,10 @@
 		f.cfg.Log.Failure("peer not reached", "peer", source.Address, "err", err)
 		return false
 	}
-	f.core.RecordPeerAnswer(now, source.Address, response.Age.Std(), response.Confirmed)
+	// What a source of an earlier era knows is out of date, however recently the store
+	// confirmed it.
+	isCurrent := response.Confirmed && response.Era >= f.era
+	f.core.RecordPeerAnswer(now, source.Address, response.Age.Std(), isCurrent)
 	if response.Changes != nil {
 		f.applyChanges(response.Changes)
 	}
@@ -132,7 +135,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age, known := f.core.DataAge(f.clock())
-	response := &rrpeer.FeedResponse{Confirmed: known, Age: rrpeer.NewAge(age), Changes: f.withNewerTable(f.changesSince(request), request)}
+	response := &rrpeer.FeedResponse{Confirmed: known, Age: rrpeer.NewAge(age), Era: f.era, Changes: f.withNewerTable(f.changesSince(request), request)}
 	response.Quarantines = f.activeQuarantines(request.Quarantines)
 	response.Crashes = f.recentCrashes(request.Crashes)
 	return response, f.changed, response.Changes != nil && response.Changes.HasEntries() || len(response.Quarantines) > 0
--- a/internal/domain/rrpeer/feed.go
+++ b/internal/domain/rrpeer/feed.go
@@ -54,6 +54,9 @@
 	// Age is the time since it last did.
 	Confirmed bool `json:"known"`
 	Age       Age  `json:"age"`
+	// Era is the store's latest era that the sender knows of; zero if it knows none, or is a
+	// daemon that leaves eras out of its revisions.
+	Era rrcatalog.Era `json:"era,omitempty"`
 	// Changes is nil if there are none. The transport encodes and compresses them
 	// itself.
 	Changes *FeedChanges `json:"-"`
