--- a/internal/adapter/rrconn/rrconn_test.go
+++ b/internal/adapter/rrconn/rrconn_test.go
@@ -312,11 +312,12 @@
 
 // A process that ends may accept a connection after it has ended another.
 func TestDeadSearcherAcceptsOnceMore(t *testing.T) {
-	var s *scriptedSearcher
+	listener := make(chan net.Listener, 1)
 	s, to := serve(t, func(_ int64, conn net.Conn, _ *bufio.Reader) {
-		_ = s.listener.Close()
+		_ = (<-listener).Close()
 		_ = conn.Close()
 	})
+	listener <- s.listener
 	must.True(t, newClient(t).IsDead(t.Context(), to))
 }
 
