--- /dev/null
+++ b/review/stand/suspect.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"rhubarbreel.example/rhubarbreel/platform/standin"
+)
+
+// Load of the case, with the kinds of requests of a small deployment.
+const (
+	titlePerSecond = 135
+	shelfPerSecond = 45
+	batchPerSecond = 45
+	// hotPaths is the number of searches that the cataloguers repeat.
+	hotPaths  = 2
+	daemons   = 1
+	searchers = 4
+)
+
+// One searcher at a time is down for crashTime, with crashGap between.
+const (
+	crashTime = 4500 * time.Millisecond
+	crashGap  = 1000 * time.Millisecond
+	crashes   = 16
+	warmup    = 3 * time.Second
+)
+
+// maxLost is how many requests the rule LOST lets a machine lose at any time.
+const maxLost = 3
+
+// suspectCase lets searchers crash that run requests which several callers send at the same
+// time. It counts the requests that a searcher which did not crash was running while the
+// daemon closed the kept connection without an answer.
+type suspectCase struct {
+	fleet *fleet
+	work  map[string]time.Duration
+	// daemons has each daemon's current process.
+	daemons []*daemon
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// lost has, by daemon, the ids of the requests that were lost on kept connections.
+	lost map[string][]string
+	// running has the searchers' current processes.
+	running []*process
+}
+
+func runSuspectCase(ctx context.Context, f *fleet) error {
+	c := &suspectCase{
+		fleet: f, lost: make(map[string][]string),
+		work: map[string]time.Duration{"title": 15 * time.Millisecond, "shelf": 5 * time.Millisecond, "batch": 120 * time.Millisecond},
+	}
+	f.store.Put(standin.ObjectTables, standin.TableName, standin.Table(7, []string{"arkisto"},
+		singleRoute("shelf", "arkisto", 0, 1500, 150), singleRoute("title", "arkisto", 1, 2000, 200), singleRoute("batch", "arkisto", 2, 6000, 1200)))
+	for i := range searchers {
+		p, err := f.spawnSearcher(ctx, fmt.Sprintf("i-%d-0", i), "arkisto", "helsinki-a", c.work)
+		if err != nil {
+			return err
+		}
+		c.running = append(c.running, p)
+	}
+	for i := range daemons {
+		d, err := f.startDaemon(ctx, fmt.Sprintf("front-%d", i+1))
+		if err != nil {
+			return err
+		}
+		c.daemons = append(c.daemons, d)
+	}
+	if err := c.play(ctx); err != nil {
+		return err
+	}
+	return c.verdict()
+}
+
+// play sends the load and lets the searchers crash, until a daemon ends by itself.
+func (c *suspectCase) play(ctx context.Context) error {
+	load, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	for _, d := range c.daemons {
+		to := c.fleet.newClient(d)
+		steady := func(kind string, perSecond float64, budget time.Duration, paths int) {
+			wg.Go(func() {
+				to.sendSteadily(load, perSecond/daemons, budget, func(n int) string { return fmt.Sprintf("/%s/%x", kind, n%paths) },
+					func(a answer) { c.recordAnswer(d, &a) })
+			})
+		}
+		steady("title", titlePerSecond, 2*time.Second, hotPaths)
+		steady("shelf", shelfPerSecond, 1500*time.Millisecond, hotPaths)
+		steady("batch", batchPerSecond, 6*time.Second, 1<<30)
+	}
+	sleep(ctx, warmup)
+	for n := 0; n < crashes && !c.anyEnded(); n++ {
+		if err := c.crashOne(ctx, n); err != nil {
+			return err
+		}
+		sleep(ctx, crashGap)
+	}
+	return nil
+}
+
+func (c *suspectCase) anyEnded() bool {
+	for _, d := range c.daemons {
+		if d.hasEndedItself() {
+			return true
+		}
+	}
+	return false
+}
+
+// recordAnswer counts a request that was sent on a kept connection and got no answer.
+func (c *suspectCase) recordAnswer(d *daemon, a *answer) {
+	if a.err == nil || !a.keptConnection || a.ended.Sub(a.sent) >= time.Second {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost[d.name] = append(c.lost[d.name], a.id)
+}
+
+// verdict reports whether a daemon has lost more than maxLost requests that sound searchers
+// were running.
+func (c *suspectCase) verdict() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, d := range c.daemons {
+		n := 0
+		for _, id := range c.lost[d.name] {
+			if c.fleet.ranAtSurvivor(id, c.running) {
+				n++
+			}
+		}
+		c.fleet.record("lost", "daemon", d.name, "ended-by-itself", d.hasEndedItself(), "on-kept-connections", len(c.lost[d.name]), "passed-on-to-sound-searchers", n)
+		if n > maxLost {
+			return fmt.Errorf("%w: %s ended by itself with %d requests of kept connections at sound searchers", errBroken, d.name, n)
+		}
+	}
+	if c.anyEnded() {
+		return fmt.Errorf("%w: a daemon ended by itself", errBroken)
+	}
+	return nil
+}
+
+// crashOne kills a searcher, lets its entry expire and starts its successor.
+func (c *suspectCase) crashOne(ctx context.Context, n int) error {
+	if !c.fleet.trouble {
+		sleep(ctx, crashTime)
+		return nil
+	}
+	i := n % len(c.running)
+	old := c.running[i]
+	c.fleet.record("crash", "searcher", old.name)
+	old.kill()
+	sleep(ctx, entryExpiry)
+	c.fleet.dropEntry(old.name)
+	sleep(ctx, crashTime-entryExpiry)
+	p, err := c.fleet.spawnSearcher(ctx, fmt.Sprintf("i-%d-%d", i, n+1), "arkisto", "helsinki-a", c.work)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[i] = p
+	return nil
+}
+
+// entryExpiry is three heartbeat intervals, after which the store removes an entry.
+const entryExpiry = 3600 * time.Millisecond
+
+// singleRoute returns a route to one service.
+func singleRoute(name, service string, priority int, timeoutMS, targetMS int64) map[string]any {
+	return map[string]any{
+		"name": "r-" + name, "host": hostName, "path-prefix": "/" + name + "/", "kind": "idempotent", "timeout-ms": timeoutMS,
+		"target-latency-ms": targetMS, "priority": priority, "attempts": 2, "service": service,
+	}
+}
