--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -57,6 +57,7 @@
 func runCase(ctx context.Context, name, dir string) error {
 	cases := map[string]func(context.Context, *fleet) error{
 		"suspect": runSuspectCase,
+		"pause":   runPauseCase,
 	}
 	f := cases[name]
 	if f == nil {
