--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -14,6 +14,7 @@
 // answer is what a client got for one attempt.
 type answer struct {
 	id     string
+	path   string
 	status int
 	header http.Header
 	body   []byte
@@ -34,13 +35,17 @@
 type client struct {
 	fleet   *fleet
 	address string
+	// method is that of all requests.
+	method string
 
 	// mu guards idle.
 	mu   sync.Mutex
 	idle []*clientConn
 }
 
-func (f *fleet) newClient(d *daemon) *client { return &client{fleet: f, address: d.callers} }
+func (f *fleet) newClient(d *daemon) *client {
+	return &client{fleet: f, address: d.callers, method: http.MethodGet}
+}
 
 // connectTime is how long a client waits for a new connection.
 const connectTime = time.Second
@@ -61,20 +66,16 @@
 	return &clientConn{Conn: conn, r: bufio.NewReader(conn)}, nil
 }
 
-// get sends one attempt and records it and its answer.
-func (c *client) get(ctx context.Context, path string, budget time.Duration) answer {
-	return c.do(ctx, http.MethodGet, path, budget)
-}
-
-func (c *client) do(ctx context.Context, method, path string, budget time.Duration) answer {
-	a := answer{id: c.fleet.newID(), sent: time.Now()}
+// send sends one attempt and records it and its answer.
+func (c *client) send(ctx context.Context, path string, budget time.Duration) answer {
+	a := answer{id: c.fleet.newID(), path: path, sent: time.Now()}
 	conn, err := c.connect(ctx)
 	if err != nil {
 		a.err = err
 	} else {
 		a.keptConnection = conn.used
-		c.fleet.record("sent", "attempt", a.id, "method", method, "path", path, "to", c.address, "kept", conn.used)
-		a.err = c.exchange(conn, method, path, budget, &a)
+		c.fleet.record("sent", "attempt", a.id, "method", c.method, "path", path, "to", c.address, "kept", conn.used)
+		a.err = c.exchange(conn, budget, &a)
 	}
 	a.ended = time.Now()
 	c.fleet.record("answer", "attempt", a.id, "status", a.status, "stamp", a.header.Get("X-Server-Stamp"), "bytes", len(a.body), "err", a.err)
@@ -83,7 +84,7 @@
 
 // exchange sends the request and reads its answer. It keeps the connection if it can carry
 // another request.
-func (c *client) exchange(conn *clientConn, method, path string, budget time.Duration, a *answer) error {
+func (c *client) exchange(conn *clientConn, budget time.Duration, a *answer) error {
 	keep := false
 	defer func() {
 		if !keep {
@@ -99,10 +100,10 @@
 		return err
 	}
 	if _, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Time-Budget-Ms: %d\r\n%s\r\n",
-		method, path, hostName, a.id, budget.Milliseconds(), lengthField(method)); err != nil {
+		c.method, a.path, hostName, a.id, budget.Milliseconds(), lengthField(c.method)); err != nil {
 		return err
 	}
-	res, err := http.ReadResponse(conn.r, &http.Request{Method: method})
+	res, err := http.ReadResponse(conn.r, &http.Request{Method: c.method})
 	if err != nil {
 		return err
 	}
@@ -134,6 +135,6 @@
 		case <-ctx.Done():
 			return
 		}
-		wg.Go(func() { done(c.get(context.WithoutCancel(ctx), path(n), budget)) })
+		wg.Go(func() { done(c.send(context.WithoutCancel(ctx), path(n), budget)) })
 	}
 }
