--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -37,6 +37,9 @@
 	address string
 	// method is that of all requests.
 	method string
+	// single is set if each request has its own connection, and halfClose if the client
+	// then shuts down its side before it reads the answer.
+	single, halfClose bool
 
 	// mu guards idle.
 	mu   sync.Mutex
@@ -103,6 +106,11 @@
 		c.method, a.path, hostName, a.id, budget.Milliseconds(), lengthField(c.method)); err != nil {
 		return err
 	}
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok && c.halfClose {
+		if err := tcp.CloseWrite(); err != nil {
+			return err
+		}
+	}
 	res, err := http.ReadResponse(conn.r, &http.Request{Method: c.method})
 	if err != nil {
 		return err
@@ -110,7 +118,7 @@
 	defer func() { _ = res.Body.Close() }()
 	a.status, a.header = res.StatusCode, res.Header
 	a.body, err = io.ReadAll(res.Body)
-	keep = err == nil && !res.Close
+	keep = err == nil && !res.Close && !c.single
 	return err
 }
 
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -56,9 +56,10 @@
 // runCase runs the named case, which leaves its record in the folder.
 func runCase(ctx context.Context, name, dir string) error {
 	cases := map[string]func(context.Context, *fleet) error{
-		"suspect":  runSuspectCase,
-		"pause":    runPauseCase,
-		"encoding": runEncodingCase,
+		"suspect":   runSuspectCase,
+		"halfclose": runHalfCloseCase,
+		"pause":     runPauseCase,
+		"encoding":  runEncodingCase,
 	}
 	f := cases[name]
 	if f == nil {
