--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-stand ] || exit 2
-exec target/review-stand case encoding review/2
+exec target/review-stand case suspect review/2
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -58,6 +58,7 @@
 	cases := map[string]func(context.Context, *fleet) error{
 		"suspect":   runSuspectCase,
 		"halfclose": runHalfCloseCase,
+		"twice":     runTwiceCase,
 		"pause":     runPauseCase,
 		"encoding":  runEncodingCase,
 	}
