--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -147,8 +147,8 @@
 func (f *fleet) freeAddress(ctx context.Context) (string, error) { return f.ports.FreeAddress(ctx) }
 
 // spawn starts a process. Its lines of output go to onLine.
-func (f *fleet) spawn(name, path string, args, env []string, onLine func(string)) (*process, error) {
-	p := &process{name: name, cmd: exec.Command(path, args...), exited: make(chan struct{})}
+func (f *fleet) spawn(ctx context.Context, name, path string, args, env []string, onLine func(string)) (*process, error) {
+	p := &process{name: name, cmd: exec.CommandContext(context.WithoutCancel(ctx), path, args...), exited: make(chan struct{})}
 	p.cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.temp}, env...)
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	r, w, err := os.Pipe()
@@ -211,7 +211,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p, err := f.spawn(id, self, []string{"searcher", "--id", id, "--address", address, "--work", formatWork(work)}, nil, func(line string) {
+	p, err := f.spawn(ctx, id, self, []string{"searcher", "--id", id, "--address", address, "--work", formatWork(work)}, nil, func(line string) {
 		var e runEvent
 		if json.Unmarshal([]byte(line), &e) == nil {
 			f.observe(e)
@@ -346,7 +346,7 @@
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	if d.process, err = f.spawn(name, d.binary, d.args, []string{"RHUBARBREEL_BOOT=" + d.settings}, f.daemonLine(name)); err != nil {
+	if d.process, err = f.spawn(ctx, name, d.binary, d.args, []string{"RHUBARBREEL_BOOT=" + d.settings}, f.daemonLine(name)); err != nil {
 		return nil, err
 	}
 	for !isReady(ctx, d.readiness) {
--- a/review/stand/twice.go
+++ b/review/stand/twice.go
@@ -35,9 +35,12 @@
 type twiceCase struct {
 	fleet *fleet
 
-	// mu guards runs, the searchers that began to run each attempt.
-	mu   sync.Mutex
-	runs map[string][]string
+	// mu guards the fields below.
+	mu sync.Mutex
+	// runs has the searchers that began to run each attempt, and refused the attempts that
+	// were answered 503, which promises that they have not run.
+	runs    map[string][]string
+	refused []string
 }
 
 func runTwiceCase(ctx context.Context, f *fleet) error {
@@ -65,7 +68,7 @@
 		to := f.newClient(d)
 		to.method = http.MethodPost
 		wg.Go(func() {
-			to.sendSteadily(load, printPerSecond, 2*time.Second, func(i int) string { return fmt.Sprintf("/print%d/%x", n, i) }, func(answer) {})
+			to.sendSteadily(load, printPerSecond, 2*time.Second, func(i int) string { return fmt.Sprintf("/print%d/%x", n, i) }, c.recordAnswer)
 		})
 	}
 	wg.Wait()
@@ -99,9 +102,23 @@
 	c.runs[e.ID] = append(c.runs[e.ID], e.Searcher)
 }
 
+func (c *twiceCase) recordAnswer(a answer) {
+	if a.err != nil || a.status != http.StatusServiceUnavailable {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = append(c.refused, a.id)
+}
+
 func (c *twiceCase) verdict() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, id := range c.refused {
+		if len(c.runs[id]) > 0 {
+			c.fleet.record("refused and ran", "attempt", id, "searchers", c.runs[id])
+		}
+	}
 	n := 0
 	for id, by := range c.runs {
 		if len(by) > 1 {
