--- a/review/stand/suspect.go
+++ b/review/stand/suspect.go
@@ -16,7 +16,7 @@
 	batchPerSecond = 45
 	// hotPaths is the number of searches that the cataloguers repeat.
 	hotPaths  = 2
-	daemons   = 1
+	daemons   = 2
 	searchers = 3
 )
 
