--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -34,12 +34,12 @@
 	defer cancel()
 	var err error
 	switch {
-	case len(args) == 3 && args[0] == "case":
-		err = runCase(ctx, args[1], args[2])
+	case len(args) == 4 && args[0] == "case":
+		err = runCase(ctx, args[1], args[2], args[3])
 	case len(args) > 0 && args[0] == "searcher":
 		err = runSearcher(ctx, args[1:])
 	default:
-		err = errors.New("usage: stand case NAME DIR | stand searcher FLAGS")
+		err = errors.New("usage: stand case NAME DIR TROUBLE | stand searcher FLAGS")
 	}
 	switch {
 	case err == nil:
@@ -53,8 +53,9 @@
 	}
 }
 
-// runCase runs the named case, which leaves its record in the folder.
-func runCase(ctx context.Context, name, dir string) error {
+// runCase runs the named case, which leaves its record in the folder. If trouble is 0, it
+// runs without its disruption.
+func runCase(ctx context.Context, name, dir, trouble string) error {
 	cases := map[string]func(context.Context, *fleet) error{
 		"suspect":   runSuspectCase,
 		"halfclose": runHalfCloseCase,
@@ -66,7 +67,7 @@
 	if f == nil {
 		return fmt.Errorf("no case %q", name)
 	}
-	fl, err := newFleet(ctx, dir, os.Getenv("TROUBLE") != "0")
+	fl, err := newFleet(ctx, dir, trouble != "0")
 	if err != nil {
 		return err
 	}
