Start a job at the searcher for which its lane was found ready

Cause: a request in flight at a searcher that crashed is suspect, and equal requests wait in one lane. Once the request is answered elsewhere it is clear again. The lane then counted as ready if the least urgent rank had room at a searcher; startJob asked again for the job's own rank. Room depends on the rank's service time, so the second question could have no answer, and send used it.

Fix: the lane is checked for the job's own rank, and the searcher that the check found is kept and used, not worked out again. The same rank would not be enough: dispatchers share the service times, which others record between check and use (by reading, not shown). TestPickServesTheLaneAcceptedLast binds what this relies on in rrqueue.

--- a/internal/policy/rrdispatch/choose.go
+++ b/internal/policy/rrdispatch/choose.go
@@ -18,7 +18,8 @@
 )
 
 // dispatch starts all jobs that can be started now.
-func (s *Shard) dispatch(now rrunit.Instant) {
+func (s *Shard) dispatch() {
+	now := s.now
 	s.suspectHeldUntil = 0
 	s.needsIdle = false
 	for s.queue.Len() > 0 && s.anyFree(now) {
@@ -58,14 +59,34 @@
 
 // isReady reports whether a job of the lane can be sent now.
 func (s *Shard) isReady(rank int, key laneKey, floor bool) bool {
+	rank = s.jobRank(rank)
 	if key.suspect {
-		return s.isSuspectReady(key)
+		return s.isSuspectReady(rank, key)
 	}
-	rank = s.jobRank(rank)
 	if !s.isShared() && !floor && rank > 0 && !s.hasUnreservedSlot(rank) {
 		return false
 	}
-	return s.chooseSearcher(s.now, rank, key) != nil
+	return s.place(placement{searcher: s.chooseSearcher(s.now, rank, key)})
+}
+
+// placement is where and how the next job of a lane runs.
+type placement struct {
+	// searcher is nil if none can take the job now.
+	searcher *searcher
+	// suspect is set if the job runs as a suspect, and alone if a loss would then prove
+	// that it caused the loss.
+	suspect, alone bool
+}
+
+// place keeps the placement of a lane for startJob, and reports whether there is one. It is
+// not worked out again when the job starts: other dispatchers record service times at any
+// moment, so that the same question may get another answer.
+func (s *Shard) place(p placement) bool {
+	if p.searcher == nil {
+		return false
+	}
+	s.placed = p
+	return true
 }
 
 // hasUnreservedSlot reports whether a slot is free beyond those that are reserved for
--- a/internal/policy/rrdispatch/shard.go
+++ b/internal/policy/rrdispatch/shard.go
@@ -40,7 +40,10 @@
 
 	queue *rrqueue.Queue[laneKey, *job]
 	// ready is the method value isReady, stored so that calls don't allocate it.
-	ready  rrqueue.Ready[laneKey]
+	ready rrqueue.Ready[laneKey]
+	// placed is the placement of the lane that isReady accepted last, which is the lane
+	// that Pick serves.
+	placed placement
 	ranks  []*rankState
 	budget *rrbudget.Bucket
 	// sharedBudget replaces budget where other daemons send to the searchers too.
@@ -378,7 +381,7 @@
 		s.recheckWaiting = false
 		s.replyAllUnservable(now)
 	}
-	s.dispatch(now)
+	s.dispatch()
 	s.emitStatusChanges()
 	out := s.actions
 	s.actions = nil
--- a/internal/policy/rrdispatch/start.go
+++ b/internal/policy/rrdispatch/start.go
@@ -25,7 +25,7 @@
 	s.updateTimer(j)
 }
 
-// startJob sends a job that was picked from the queue. It replies to the job instead if
+// startJob sends a job that was just picked from the queue as placed says. It replies to the job instead if
 // it was quarantined or expired meanwhile, and queues it again if it became suspect.
 func (s *Shard) startJob(now rrunit.Instant, j *job) {
 	hedge := len(j.running) > 0
@@ -33,27 +33,22 @@
 		s.reply(j, rrquery.ReasonDeadline, 0)
 		return
 	}
-	key := j.entry.Spec().Key
 	state, until := s.suspects.State(now, j.Fingerprint)
 	if state != rrquarantine.StateClear && hedge {
 		return
 	}
-	switch state {
-	case rrquarantine.StateQuarantined:
+	switch {
+	case state == rrquarantine.StateQuarantined:
 		s.reply(j, rrquery.ReasonQuarantine, until.Sub(now))
-	case rrquarantine.StateHeld, rrquarantine.StateSuspect:
-		if !key.suspect {
-			s.enqueue(j, true)
-			return
-		}
-		w, alone := s.chooseForSuspect(now, key)
-		s.send(now, j, w, true, alone)
-	default:
-		if hedge && !s.chargeHedge(now, j) {
-			return
-		}
-		s.send(now, j, s.chooseSearcher(now, j.Rank, key), false, false)
+		return
+	case state != rrquarantine.StateClear && !j.entry.Spec().Key.suspect:
+		s.enqueue(j, true)
+		return
+	}
+	if hedge && !s.chargeHedge(now, j) {
+		return
 	}
+	s.send(now, j, s.placed)
 }
 
 // chargeHedge takes a second attempt from the budget and reports whether it could. If
@@ -81,7 +76,8 @@
 }
 
 // send starts an attempt.
-func (s *Shard) send(now rrunit.Instant, j *job, w *searcher, suspect, alone bool) {
+func (s *Shard) send(now rrunit.Instant, j *job, p placement) {
+	w := p.searcher
 	s.lastAttempt++
 	a := s.newAttempt()
 	*a = attempt{
@@ -93,14 +89,14 @@
 		fingerprint: j.Fingerprint,
 		startedAt:   now,
 		connectTime: w.connectTime(),
-		suspect:     suspect,
-		alone:       alone,
+		suspect:     p.suspect,
+		alone:       p.alone,
 	}
 	w.useConnection(now)
 	s.spendQuota(now, j.Rank, w)
 	s.attempts[a.id] = a
 	w.running = append(w.running, a)
-	w.runsSuspect = suspect
+	w.runsSuspect = p.suspect
 	w.reserved = false
 	s.ranks[j.Rank].running++
 	if j.attemptsSent == 0 {
--- a/internal/policy/rrdispatch/suspect.go
+++ b/internal/policy/rrdispatch/suspect.go
@@ -15,7 +15,7 @@
 const maxReserveTime = 50 * time.Millisecond
 
 // isSuspectReady reports whether a job of a suspect lane can be sent now.
-func (s *Shard) isSuspectReady(key laneKey) bool {
+func (s *Shard) isSuspectReady(rank int, key laneKey) bool {
 	state, until := s.suspects.State(s.now, key.fingerprint)
 	switch state {
 	case rrquarantine.StateHeld:
@@ -23,18 +23,21 @@
 			s.suspectHeldUntil = until
 		}
 		return false
+	case rrquarantine.StateQuarantined:
+		// startJob replies to the job.
+		return true
 	case rrquarantine.StateSuspect:
 		if s.isRunning(key.fingerprint) {
 			return false
 		}
-		w, _ := s.chooseForSuspect(s.now, key)
+		w, alone := s.chooseForSuspect(s.now, key)
 		if w == nil && !s.needsIdle {
 			s.needsIdle, s.needsIdleLane = true, key
 		}
-		return w != nil
+		return s.place(placement{searcher: w, suspect: true, alone: alone})
 	default:
-		// The fingerprint was cleared or quarantined meanwhile; startJob handles both.
-		return state == rrquarantine.StateQuarantined || s.chooseSearcher(s.now, len(s.ranks)-1, key) != nil
+		// The fingerprint was cleared meanwhile.
+		return s.place(placement{searcher: s.chooseSearcher(s.now, rank, key)})
 	}
 }
 
--- a/internal/policy/rrqueue/rrqueue.go
+++ b/internal/policy/rrqueue/rrqueue.go
@@ -132,8 +132,8 @@
 	}
 }
 
-// Pick removes and returns the entry to serve next, or nil if none can be served.
-// A rank that is owed a service by its floor share goes first, then the most
+// Pick removes and returns the entry to serve next, or nil if none can be served. It is an
+// entry of the rank and key for which ready returned true last. A rank that is owed a service by its floor share goes first, then the most
 // urgent rank.
 func (q *Queue[K, T]) Pick(ready Ready[K]) *Entry[K, T] {
 	index, kq := q.overdueFloor(ready)
--- a/internal/policy/rrqueue/rrqueue_test.go
+++ b/internal/policy/rrqueue/rrqueue_test.go
@@ -1,6 +1,7 @@
 package rrqueue_test
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -111,3 +112,30 @@
 	must.One(t, q.Waiting(0))
 	must.Nil(t, q.Pick(func(_ int, key string, _ bool) bool { return key == "a" }))
 }
+
+// The user of the queue keeps what it found for the lane that ready accepted last.
+func TestPickServesTheLaneAcceptedLast(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	q := rrqueue.New[string, int]([]rrunit.Share{0.1, 0.4, 0.3}, 1000)
+	keys := []string{"a", "b", "c", "d"}
+	picked := 0
+	for i := range 5000 {
+		push(q, i, spec{Rank: rng.IntN(3), Key: keys[rng.IntN(len(keys))], Since: rrunit.Instant(rng.IntN(1000))})
+		var lastRank int
+		var lastKey string
+		e := q.Pick(func(rank int, key string, _ bool) bool {
+			if rng.IntN(2) == 0 {
+				return false
+			}
+			lastRank, lastKey = rank, key
+			return true
+		})
+		if e == nil {
+			continue
+		}
+		picked++
+		must.Eq(t, lastRank, e.Spec().Rank)
+		must.Eq(t, lastKey, e.Spec().Key)
+	}
+	must.Greater(t, 4000, picked)
+}
