End the work of one service, not the daemon, on an unexpected error

A panic in a call to the decision core is now an error of that service: its requests under way are answered (502, or 503 where nothing was sent), its attempts are cancelled, and the core drops all jobs and attempts and keeps what it knows of searchers: limits, pauses, who leaves, suspects, budgets. The line `dispatcher failed`, the counter `errors` and `explain` (cause internal) show it.

TestUnexpectedErrorEndsTheWorkOfItsServiceOnly (rrdispatchers) ended the test process with the panic before; TestUnexpectedErrorEndsTheWorkOfItsShardOnly (rrowner) is new.

--- a/internal/app/rrdaemon/rrdaemon.go
+++ b/internal/app/rrdaemon/rrdaemon.go
@@ -96,6 +96,7 @@
 		rrowner.WithPollInterval(d.settings.Times.LoadPollInterval.Std()),
 		rrowner.WithQuarantine(d.addLocalQuarantine),
 		rrowner.WithClaimer(d.claims),
+		rrowner.WithErrorHandler(d.logShardError),
 	)
 	local := d.owner.Worker(func(r rrpeer.ShardReport) { d.entry.Report(r) })
 	d.pool = rrlink.NewPool(workCtx, d.codec, d.settings.Instance, local, func(r rrpeer.ShardReport) { d.entry.Report(r) })
--- a/internal/app/rrdispatchers/dispatcher.go
+++ b/internal/app/rrdispatchers/dispatcher.go
@@ -146,7 +146,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	defer d.schedule()
-	return d.perform(call(d.parent.clock()))
+	actions, err := d.decide(call)
+	if err != nil {
+		return d.abandonAll(err)
+	}
+	return d.perform(actions)
 }
 
 // idle returns how many connections to the searcher are idle.
--- a/internal/app/rrdispatchers/goroutine_pool.go
+++ b/internal/app/rrdispatchers/goroutine_pool.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"rhubarbreel.example/rhubarbreel/internal/domain/rrpanic"
 )
 
 // idleGoroutineTime is how long an idle goroutine is kept.
@@ -15,10 +17,12 @@
 	ctx     context.Context
 	tasks   chan func()
 	running sync.WaitGroup
+	// onError is called with a panic of a function, which ends that function only.
+	onError func(error)
 }
 
-func newGoroutinePool(ctx context.Context) *goroutinePool {
-	return &goroutinePool{ctx: ctx, tasks: make(chan func())}
+func newGoroutinePool(ctx context.Context, onError func(error)) *goroutinePool {
+	return &goroutinePool{ctx: ctx, tasks: make(chan func()), onError: onError}
 }
 
 // run runs f at once in an idle goroutine, or in a new one if none is idle.
@@ -34,7 +38,9 @@
 	timer := time.NewTimer(idleGoroutineTime)
 	defer timer.Stop()
 	for {
-		f()
+		if err := protect(f); err != nil {
+			p.onError(err)
+		}
 		timer.Reset(idleGoroutineTime)
 		select {
 		case f = <-p.tasks:
@@ -46,5 +52,12 @@
 	}
 }
 
+// protect runs f, and returns its panic as an error.
+func protect(f func()) (err error) {
+	defer rrpanic.Recover(&err)
+	f()
+	return nil
+}
+
 // wait returns once ctx has ended and all functions have returned.
 func (p *goroutinePool) wait() { p.running.Wait() }
--- a/internal/app/rrdispatchers/rrdispatchers.go
+++ b/internal/app/rrdispatchers/rrdispatchers.go
@@ -115,7 +115,6 @@
 func New(ctx context.Context, settings *rrsettings.GatewaySettings, forwarder rrforward.Forwarder, logger *rrlog.Log, metrics *rrmetrics.GatewayMetrics, opts ...Option) *Dispatchers {
 	p := &Dispatchers{
 		ctx:          ctx,
-		pool:         newGoroutinePool(ctx),
 		clock:        rrunit.SystemClock(),
 		forwarder:    forwarder,
 		log:          logger,
@@ -130,6 +129,7 @@
 	for _, opt := range opts {
 		opt(p)
 	}
+	p.pool = newGoroutinePool(ctx, p.recordError)
 	p.settings.Store(settings)
 	return p
 }
--- a/internal/app/rrexplain/rrexplain.go
+++ b/internal/app/rrexplain/rrexplain.go
@@ -71,6 +71,8 @@
 	CauseMalformed Cause = "malformed"
 	// CauseNoSearcher means that the daemon had no searcher with a usable status.
 	CauseNoSearcher Cause = "nosearcher"
+	// CauseInternal is an unexpected error in the daemon's decisions on a service.
+	CauseInternal Cause = "internal"
 	// CauseRefused means that searchers refused it, or it waited too long for one.
 	CauseRefused Cause = "refused"
 	// CauseLimited means that the request limits that searchers name left no room.
@@ -196,6 +198,8 @@
 		return CauseQuarantine
 	case "cancelled":
 		return CauseCallerGone
+	case "internal":
+		return CauseInternal
 	case "lost":
 		if final["kind"] == "once" {
 			return CauseOutcomeUnknown
@@ -215,7 +219,7 @@
 		}
 	}
 	best := CauseUnknown
-	for _, c := range []Cause{CauseSlow, CauseLost, CauseRefused, CauseLimited, CausePaused, CauseNoSearcher} {
+	for _, c := range []Cause{CauseSlow, CauseLost, CauseRefused, CauseLimited, CausePaused, CauseNoSearcher, CauseInternal} {
 		if counts[c] > counts[best] {
 			best = c
 		}
@@ -239,6 +243,8 @@
 		return CausePaused
 	case "lost":
 		return CauseLost
+	case "internal":
+		return CauseInternal
 	default:
 		return CauseSlow
 	}
@@ -262,6 +268,8 @@
 			r.addStep(l, "routing table %s came into force %s before", l["number"], end.Sub(at).Round(time.Millisecond))
 		case l["msg"] == "source of knowledge":
 			r.addStep(l, "the daemon reads the store: %s (%s)", l["store"], orDefault(l["cause"], "reported by peers"))
+		case l["msg"] == "dispatcher failed" && r.Cause == CauseInternal:
+			r.addStep(l, "the daemon's dispatcher of %s failed: %s", l["service"], l["err"])
 		case l["msg"] == "request quarantined" && r.Cause == CauseQuarantine:
 			r.addStep(l, "fingerprint %s was quarantined by %s", l["fingerprint"], orDefault(l["source"], "itself"))
 		}
--- a/internal/app/rrmetrics/gateway.go
+++ b/internal/app/rrmetrics/gateway.go
@@ -65,6 +65,8 @@
 	// GroupCrashChecks counts attempts whose connection was lost, by what the check of
 	// the searcher found.
 	GroupCrashChecks Group = "losses"
+	// GroupErrors counts unexpected errors, by service.
+	GroupErrors Group = "errors"
 	// GroupSearcherStatus counts changes of searchers' status.
 	GroupSearcherStatus Group = "beliefs"
 )
@@ -88,7 +90,7 @@
 		latencies: make(map[Group]map[string]*latencyWindow),
 	}
 	for _, g := range []Group{
-		GroupRequests, GroupDegraded, GroupAttempts, GroupExtraAttempts, GroupConnections, GroupPreconnects, GroupStore, GroupPeerCalls, GroupEvidence, GroupUnreadableLoads, GroupLimited, GroupPauses, GroupCrashChecks, GroupSearcherStatus,
+		GroupRequests, GroupDegraded, GroupAttempts, GroupExtraAttempts, GroupConnections, GroupPreconnects, GroupStore, GroupPeerCalls, GroupEvidence, GroupUnreadableLoads, GroupLimited, GroupPauses, GroupCrashChecks, GroupErrors, GroupSearcherStatus,
 		GroupPeerBytes, GroupPeerConnections,
 	} {
 		m.groups[g] = new(expvar.Map)
--- a/internal/app/rrowner/claim.go
+++ b/internal/app/rrowner/claim.go
@@ -89,6 +89,7 @@
 	j.sent--
 	switch {
 	case at.reply.Outcome == rrupstream.OutcomeAnswered:
+		j.mayHaveRun = true
 		s.recordOutcome(j, &at.reply)
 	case !at.reply.Outcome.NotRun() && !at.reply.Refused:
 		j.mayHaveRun = true
--- a/internal/app/rrowner/claim_test.go
+++ b/internal/app/rrowner/claim_test.go
@@ -151,3 +151,41 @@
 		o.Wait()
 	})
 }
+
+// failingClaimer panics when it records an outcome.
+type failingClaimer struct{ claimer }
+
+func (*failingClaimer) Record(*rrpeer.Task, rrclaim.Ticket, rrclaim.Outcome) { panic("no store") }
+
+// Guards against one unexpected error that ends the daemon with the work of all shards: it
+// ends the work of its shard, which goes on with the next.
+func TestUnexpectedErrorEndsTheWorkOfItsShardOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{reply: rrupstream.Reply{Outcome: rrupstream.OutcomeAnswered}, took: 10 * time.Millisecond}
+		o, w, task, stop := startOwner(t, u, &failingClaimer{})
+		defer o.Wait()
+		defer stop()
+		errs := 0
+		o.onError = func(_ rrunit.ShardKey, err error) {
+			must.ErrorContains(t, err, "no store")
+			errs++
+		}
+		var failed, slow, next rrpeer.Result
+		w.Work(&task, func(r rrpeer.Result) { failed = r })
+		time.Sleep(5 * time.Millisecond)
+		second := task
+		second.ID, second.Idempotent = 2, true
+		w.Work(&second, func(r rrpeer.Result) { slow = r })
+		time.Sleep(50 * time.Millisecond)
+		synctest.Wait()
+		must.Eq(t, rrpeer.Result{ID: 1, Shard: task.Shards[0], Run: rrpeer.RunMaybe, Reason: rrquery.ReasonInternal}, failed)
+		must.Eq(t, rrpeer.Result{ID: 2, Shard: task.Shards[0], Run: rrpeer.RunMaybe, Reason: rrquery.ReasonInternal}, slow)
+		must.One(t, errs)
+		third := second
+		third.ID = 3
+		w.Work(&third, func(r rrpeer.Result) { next = r })
+		time.Sleep(50 * time.Millisecond)
+		synctest.Wait()
+		must.Eq(t, rrpeer.RunDone, next.Run)
+	})
+}
--- a/internal/app/rrowner/rrowner.go
+++ b/internal/app/rrowner/rrowner.go
@@ -25,6 +25,8 @@
 	// onQuarantine is called with each quarantine that an own shard decided on; nil is
 	// not called.
 	onQuarantine func(rrpeer.Quarantine)
+	// onError is called with each unexpected error that ended the work of a shard.
+	onError      func(rrunit.ShardKey, error)
 	pollInterval time.Duration
 	ctx          context.Context
 	goroutines   sync.WaitGroup
@@ -53,6 +55,12 @@
 // WithClock sets the clock.
 func WithClock(c rrunit.Clock) Option { return func(o *Owner) { o.clock = c } }
 
+// WithErrorHandler sets the function that is called with each unexpected error that ended
+// the work of a shard. It must not block.
+func WithErrorHandler(handle func(rrunit.ShardKey, error)) Option {
+	return func(o *Owner) { o.onError = handle }
+}
+
 // defaultPollInterval is how often searchers are polled for their load.
 const defaultPollInterval = 500 * time.Millisecond
 
@@ -63,6 +71,7 @@
 		clock:        rrunit.SystemClock(),
 		upstream:     upstream,
 		pollInterval: defaultPollInterval,
+		onError:      func(rrunit.ShardKey, error) {},
 		shards:       make(map[rrunit.ShardKey]*shard),
 
 		quarantined: make(map[rrunit.Fingerprint]rrunit.Instant),
--- a/internal/app/rrowner/shard.go
+++ b/internal/app/rrowner/shard.go
@@ -50,7 +50,7 @@
 	// active is how many attempts are in flight; sent is how many of them were passed
 	// to the upstream client.
 	active, sent int
-	// mayHaveRun is set once an attempt has ended without an answer that may have run.
+	// mayHaveRun is set once an attempt has ended that may have run.
 	mayHaveRun bool
 	// claim is the granted claim of non-idempotent work, nil without one. Such work is
 	// offered to the core only with a claim.
@@ -118,16 +118,24 @@
 
 // step makes one call to the core, carries out its actions and sends the replies.
 func (s *shard) step(call func(now rrunit.Instant) []rrdispatch.Action) {
-	s.mu.Lock()
-	actions := call(s.owner.clock())
-	replies := s.perform(actions)
-	s.schedule()
-	s.mu.Unlock()
-	for _, reply := range replies {
+	for _, reply := range s.apply(call) {
 		reply()
 	}
 }
 
+// apply makes one call to the core, carries out its actions and returns the replies,
+// which must be sent without holding the lock.
+func (s *shard) apply(call func(now rrunit.Instant) []rrdispatch.Action) []func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.schedule()
+	actions, err := s.decide(call)
+	if err != nil {
+		return s.abandonAll(err)
+	}
+	return s.perform(actions)
+}
+
 // perform carries out actions and returns the replies, which must be sent without
 // holding the lock. The caller holds mu.
 func (s *shard) perform(actions []rrdispatch.Action) []func() {
--- a/internal/domain/rrpanic/rrpanic.go
+++ b/internal/domain/rrpanic/rrpanic.go
@@ -12,7 +12,8 @@
 )
 
 // Recover converts a panic into an error. It must be deferred by a function that
-// processes received input, and that holds no lock while it does.
+// processes received input, and that holds no lock while it does or repairs what the lock
+// guards.
 func Recover(err *error) {
 	if p := recover(); p != nil {
 		*err = eris.Errorf("unexpected error at %s: %v", origin(), p)
--- a/internal/domain/rrquery/answer.go
+++ b/internal/domain/rrquery/answer.go
@@ -58,6 +58,8 @@
 	ReasonLarge Reason = "large"
 	// ReasonPeer means that the connection to the owner broke or timed out.
 	ReasonPeer Reason = "peer"
+	// ReasonInternal means that an unexpected error ended the work of a dispatcher.
+	ReasonInternal Reason = "internal"
 )
 
 // Hit is one result of a searcher.
--- /dev/null
+++ b/internal/policy/rrdispatch/abandon.go
@@ -0,0 +1,21 @@
+package rrdispatch
+
+// Abandon drops all jobs and attempts without a reply, after an error has left them in an
+// unknown state. The caller replies to the jobs, and cancels the attempts, whose ends are
+// then ignored. What is known of searchers and requests stays, as do the budgets.
+func (s *Shard) Abandon() {
+	clear(s.jobs)
+	clear(s.attempts)
+	s.timers, s.freeJobs, s.freeAttempts = nil, nil, nil
+	s.actions, s.placed = nil, placement{}
+	s.suspectHeldUntil, s.needsIdle, s.recheckWaiting = 0, false, false
+	s.removed = nil
+	for _, w := range s.searchers {
+		w.running, w.runsSuspect, w.reserved = nil, false, false
+	}
+	s.configureRanks()
+	for i, r := range s.ranks {
+		r.running = 0
+		s.setCost(i, max(1, r.slotTime))
+	}
+}
