--- a/internal/app/rrdispatchers/abandon_test.go
+++ b/internal/app/rrdispatchers/abandon_test.go
@@ -31,7 +31,7 @@
 	failing atomic.Pointer[rrunit.SearcherID]
 	// lost is set if connections are lost under requests, after which the check panics.
 	lost atomic.Bool
-	sent    chan rrforward.Target
+	sent chan rrforward.Target
 }
 
 func (s *searchers) Forward(ctx context.Context, to rrforward.Target, _ *rrforward.Request, _ time.Duration) rrforward.Response {
--- a/internal/app/rrexplain/rrexplain.go
+++ b/internal/app/rrexplain/rrexplain.go
@@ -186,29 +186,40 @@
 		return CauseNoRoutingTable
 	case "malformed", "noroute", "large":
 		return CauseMalformed
-	case "nosearcher":
-		return CauseNoSearcher
-	case "overload":
-		return CauseRefused
-	case "limited":
-		return CauseLimited
-	case "paused":
-		return CausePaused
 	case "quarantine":
 		return CauseQuarantine
 	case "cancelled":
 		return CauseCallerGone
-	case "internal":
-		return CauseInternal
 	case "lost":
 		if final["kind"] == "once" {
 			return CauseOutcomeUnknown
 		}
 		return CauseLost
 	}
+	if c := causeOfReason(final["reason"]); c != CauseUnknown {
+		return c
+	}
 	return causeOfParts(final, parts)
 }
 
+// causeOfReason returns the cause that a reason stands for in requests and parts alike.
+func causeOfReason(reason string) Cause {
+	switch reason {
+	case "nosearcher":
+		return CauseNoSearcher
+	case "overload":
+		return CauseRefused
+	case "limited":
+		return CauseLimited
+	case "paused":
+		return CausePaused
+	case "internal":
+		return CauseInternal
+	default:
+		return CauseUnknown
+	}
+}
+
 // causeOfParts returns the cause of a late or incomplete answer: the most frequent
 // cause among its parts.
 func causeOfParts(final Line, parts []Line) Cause {
@@ -232,22 +243,13 @@
 
 // causeOfPart returns the cause of a part without an answer.
 func causeOfPart(p Line) Cause {
-	switch p["reason"] {
-	case "nosearcher":
-		return CauseNoSearcher
-	case "overload":
-		return CauseRefused
-	case "limited":
-		return CauseLimited
-	case "paused":
-		return CausePaused
-	case "lost":
+	if p["reason"] == "lost" {
 		return CauseLost
-	case "internal":
-		return CauseInternal
-	default:
-		return CauseSlow
 	}
+	if c := causeOfReason(p["reason"]); c != CauseUnknown {
+		return c
+	}
+	return CauseSlow
 }
 
 // addStatusChanges adds the daemon's changes of state shortly before the request's
@@ -261,18 +263,25 @@
 		if l["instance"] != final["instance"] || at.After(end) || end.Sub(at) > statusLookback {
 			continue
 		}
-		switch {
-		case isStatusChange(l) && concernsParts(l, parts):
+		if isStatusChange(l) && concernsParts(l, parts) {
 			r.addStep(l, "%s %s before%s", statusFinding(l), end.Sub(at).Round(time.Millisecond), statusCause(l))
-		case l["msg"] == "routing table in force":
-			r.addStep(l, "routing table %s came into force %s before", l["number"], end.Sub(at).Round(time.Millisecond))
-		case l["msg"] == "source of knowledge":
-			r.addStep(l, "the daemon reads the store: %s (%s)", l["store"], orDefault(l["cause"], "reported by peers"))
-		case l["msg"] == "dispatcher failed" && r.Cause == CauseInternal:
-			r.addStep(l, "the daemon's dispatcher of %s failed: %s", l["service"], l["err"])
-		case l["msg"] == "request quarantined" && r.Cause == CauseQuarantine:
-			r.addStep(l, "fingerprint %s was quarantined by %s", l["fingerprint"], orDefault(l["source"], "itself"))
+			continue
 		}
+		r.addDaemonChange(l, end.Sub(at).Round(time.Millisecond))
+	}
+}
+
+// addDaemonChange adds a change of the daemon's own state, that long before the request's end.
+func (r *Report) addDaemonChange(l Line, before time.Duration) {
+	switch {
+	case l["msg"] == "routing table in force":
+		r.addStep(l, "routing table %s came into force %s before", l["number"], before)
+	case l["msg"] == "source of knowledge":
+		r.addStep(l, "the daemon reads the store: %s (%s)", l["store"], orDefault(l["cause"], "reported by peers"))
+	case l["msg"] == "dispatcher failed" && r.Cause == CauseInternal:
+		r.addStep(l, "the daemon's dispatcher of %s failed: %s", l["service"], l["err"])
+	case l["msg"] == "request quarantined" && r.Cause == CauseQuarantine:
+		r.addStep(l, "fingerprint %s was quarantined by %s", l["fingerprint"], orDefault(l["source"], "itself"))
 	}
 }
 
