Send no request again on a connection on which it was refused

Cause: a searcher may send a second copy of a response late, in place of the response to the next request on the connection; the request's id tells them apart. A request that all searchers turned away is sent to them again, mostly on the connection that was used last. A copy of the first refusal then bears the right id, and was read as the response to the second sending, "not run", while the searcher ran it; the request went to another one.

Fix: a connection remembers, until their deadlines, the requests that were refused or failed on it, and carries none of them again: another connection is used, or a new one. Other requests use it as before. An answered request is not sent again, and a connection whose request has no response is closed, so that nothing else can be confused by its own id.

--- a/internal/adapter/rrconn/pool.go
+++ b/internal/adapter/rrconn/pool.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 )
 
 // Times that a connection stays idle in the pool.
@@ -42,10 +44,10 @@
 	minResponseTime time.Duration
 }
 
-// get removes and returns an idle connection that is fit for a request, or nil.
-func (p *pool) get(now time.Time) *persistConn {
+// get removes and returns an idle connection that is fit for the request, or nil.
+func (p *pool) get(now time.Time, id rrunit.RequestID) *persistConn {
 	for {
-		pc := p.popIdle()
+		pc := p.popIdle(now, id)
 		if pc == nil {
 			return nil
 		}
@@ -58,7 +60,7 @@
 
 // hasOpen reports whether an idle connection is open, and closes those that are not.
 func (p *pool) hasOpen(now time.Time) bool {
-	pc := p.get(now)
+	pc := p.get(now, "")
 	if pc == nil {
 		return false
 	}
@@ -83,16 +85,18 @@
 	p.maxIdle, p.idleTimeout = maxIdle, idleTimeout
 }
 
-func (p *pool) popIdle() *persistConn {
+// popIdle removes and returns the connection that was used last, of those on which the
+// request was not refused before.
+func (p *pool) popIdle(now time.Time, id rrunit.RequestID) *persistConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i, pc := range slices.Backward(p.idle) {
+		if !pc.unanswered.contains(now, id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return pc
+		}
 	}
-	pc := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return pc
+	return nil
 }
 
 // idleCount returns the number of idle connections that have not timed out.
@@ -172,6 +176,10 @@
 	used bool
 	// reusable is set if the connection is fit for another exchange after the last.
 	reusable bool
+	// unanswered has the requests that the searcher refused or failed on the connection. None
+	// of them is sent on it again: a late copy of the response could not be distinguished
+	// from the response to the second sending.
+	unanswered sentRequests
 }
 
 func newPersistConn(conn net.Conn, opened time.Duration, held *atomic.Int64) *persistConn {
--- a/internal/adapter/rrconn/rrconn.go
+++ b/internal/adapter/rrconn/rrconn.go
@@ -92,7 +92,7 @@
 func (c *Client) Forward(ctx context.Context, to rrforward.Target, req *rrforward.Request, budget time.Duration) rrforward.Response {
 	deadline := time.Now().Add(budget)
 	p := c.pool(to)
-	if pc := p.get(time.Now()); pc != nil {
+	if pc := p.get(time.Now(), req.ID); pc != nil {
 		return c.exchange(ctx, p, pc, to, req, deadline)
 	}
 	pc, err := c.dial(ctx, to, deadline)
@@ -108,6 +108,9 @@
 // pool if it can be reused.
 func (c *Client) exchange(ctx context.Context, p *pool, pc *persistConn, to rrforward.Target, req *rrforward.Request, deadline time.Time) rrforward.Response {
 	res := c.roundTrip(ctx, p, pc, to, req, deadline)
+	if pc.reusable && res.Outcome != rrupstream.OutcomeAnswered {
+		pc.unanswered.add(time.Now(), req.ID, deadline)
+	}
 	if pc.reusable {
 		p.put(pc, time.Now())
 	} else {
