Believe no refusal without an id on a used connection

A response with the field that says not run and no request id was taken for the answer to whatever request was under way. On a connection that has carried a response before, it may as well be a late one to an earlier request, while the searcher runs the current one. The connection was closed after such a refusal, which covers its copies, but not one that comes late by itself.

Such a response now fails the attempt, which may have run, and closes the connection; on a connection that has carried nothing it still counts as a refusal. A response with two request ids belongs to no request.

TestRefusalWithoutIDProvesNothingOnAUsedConnection and TestResponseWithTwoIDsIsSkipped failed before (outcome "shed").

--- a/internal/adapter/rrconn/exchange.go
+++ b/internal/adapter/rrconn/exchange.go
@@ -27,7 +27,10 @@
 	concurrentBodyBytes = 2 << 10
 )
 
-var errUnmatchedResponses = errors.New("the responses on the connection belong to other requests")
+var (
+	errUnmatchedResponses = errors.New("the responses on the connection belong to other requests")
+	errAnonymousRefusal   = errors.New("the refusal has no request id, and may belong to an earlier request on the connection")
+)
 
 // roundTrip sends the request and reads its response.
 func (c *Client) roundTrip(ctx context.Context, p *pool, pc *persistConn, to rrforward.Target, req *rrforward.Request, deadline time.Time) rrforward.Response {
@@ -119,7 +122,10 @@
 		if err != nil {
 			return unusableResponse(ctx, err)
 		}
-		if res.status >= http.StatusOK && c.matches(res, req) {
+		if pc.used && c.isAnonymousRefusal(res) {
+			return unusableResponse(ctx, errAnonymousRefusal)
+		}
+		if c.matches(res, req) {
 			took := time.Since(start)
 			p.recordResponseTime(took)
 			if !pc.used {
@@ -161,11 +167,18 @@
 	return &response{status: res.StatusCode, header: res.Header, body: body.Bytes(), keepAlive: !res.Close && res.ProtoAtLeast(1, 1)}, nil
 }
 
-// matches reports whether the response belongs to the request. Refusals may lack
-// the request id.
+// matches reports whether the response belongs to the request. The first refusal on a
+// connection may lack the request id.
 func (c *Client) matches(res *response, req *rrforward.Request) bool {
-	id := res.header.Get(c.fields.RequestID)
-	return id == string(req.ID) || id == "" && c.isNotRun(res)
+	ids := res.header.Values(c.fields.RequestID)
+	return res.status >= http.StatusOK && len(ids) == 1 && ids[0] == string(req.ID) || c.isAnonymousRefusal(res)
+}
+
+// isAnonymousRefusal reports whether the response refuses a request that it does not name.
+// On a connection that has carried a response before, the request may be an earlier one,
+// while the searcher runs the current one.
+func (c *Client) isAnonymousRefusal(res *response) bool {
+	return res.status >= http.StatusOK && res.header.Get(c.fields.RequestID) == "" && c.isNotRun(res)
 }
 
 // accept converts a complete response and updates the connection's state.
