Bound what all replies of searchers hold together on the own interface

Reported by operators of similar systems: a searcher sends bytes without end, and the process that called it keeps them all.

All replies share a budget, as callers' requests do; the reader that charges it moved from rrhttp to rrmemory for both. Windows of streams and connections are 256 KB and 1 MB, heads 64 KB.

--- a/internal/adapter/rrhttp/rrhttp.go
+++ b/internal/adapter/rrhttp/rrhttp.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sync/semaphore"
 
+	"rhubarbreel.example/rhubarbreel/internal/adapter/rrmemory"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrdefinition"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrquery"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
@@ -23,6 +23,9 @@
 const (
 	// envelopeBytes allows for a query's fields other than its body.
 	envelopeBytes = 8 << 10
+	// copiesPerRequest is how many copies of a request are in memory: as read and as
+	// decoded.
+	copiesPerRequest = 2
 	// defaultMemoryBytes is the default memory budget of the requests in progress.
 	defaultMemoryBytes = 64 << 20
 	// answerTimeout is how long a caller may take to read its answer.
@@ -53,7 +56,7 @@
 	// querySlots is a semaphore that bounds the queries in progress.
 	querySlots chan struct{}
 	// memory is the budget that all requests share, in bytes.
-	memory        *semaphore.Weighted
+	memory        *rrmemory.Budget
 	answerTimeout time.Duration
 }
 
@@ -62,7 +65,7 @@
 
 // WithMemoryLimit bounds the memory that the requests in progress use.
 func WithMemoryLimit(n rrunit.Bytes) CallerAPIOption {
-	return func(c *CallerAPI) { c.memory = semaphore.NewWeighted(int64(n)) }
+	return func(c *CallerAPI) { c.memory = rrmemory.NewBudget(int64(n)) }
 }
 
 // WithAnswerTimeout sets how long a caller may take to read its answer.
@@ -77,7 +80,7 @@
 		service:       service,
 		leaving:       leaving,
 		querySlots:    make(chan struct{}, maxQueries),
-		memory:        semaphore.NewWeighted(defaultMemoryBytes),
+		memory:        rrmemory.NewBudget(defaultMemoryBytes),
 		answerTimeout: answerTimeout,
 	}
 	for _, opt := range opts {
@@ -115,10 +118,10 @@
 		writeRefusal(w, http.StatusServiceUnavailable, rrquery.ReasonStore, "no definition is known yet")
 		return
 	}
-	body := &budgetReader{r: http.MaxBytesReader(w, r.Body, int64(def.Limits.Body)+envelopeBytes), budget: c.memory}
-	defer body.release()
+	body := c.memory.NewReader(http.MaxBytesReader(w, r.Body, int64(def.Limits.Body)+envelopeBytes), rrmemory.WithCopies(copiesPerRequest))
+	defer body.Release()
 	b, err := io.ReadAll(body)
-	if errors.Is(err, errMemoryBudget) {
+	if errors.Is(err, rrmemory.ErrExhausted) {
 		writeRefusal(w, http.StatusTooManyRequests, rrquery.ReasonOverload, err.Error())
 		return
 	}
--- a/internal/adapter/rrsearch/rrsearch.go
+++ b/internal/adapter/rrsearch/rrsearch.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -19,6 +20,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"rhubarbreel.example/rhubarbreel/internal/adapter/rrmemory"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrquery"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrupstream"
@@ -31,6 +33,17 @@
 	sendPingTimeout = 2 * time.Second
 	pingTimeout     = time.Second
 	maxReplyBytes   = 4 << 20
+	// maxHeaderBytes is the longest header of a reply.
+	maxHeaderBytes = 64 << 10
+	// unchargedBytes of each reply don't count toward maxBufferedBytes, which bounds the
+	// memory of all replies that are being read. A reply is copied once as its buffer grows.
+	unchargedBytes   = 16 << 10
+	maxBufferedBytes = 16 << 20
+	copiesPerReply   = 3
+	// streamBufferBytes and connectionBufferBytes are how much a searcher may send ahead of
+	// what was read of a reply, and of all replies on a connection.
+	streamBufferBytes     = 256 << 10
+	connectionBufferBytes = 1 << 20
 	// maxPooledBytes is the largest buffer that is reused for later replies.
 	maxPooledBytes = 64 << 10
 )
@@ -55,6 +68,8 @@
 	header http.Header
 	// buffers is a pool of *bytes.Buffer for replies.
 	buffers sync.Pool
+	// memory is the budget of all replies that are being read.
+	memory *rrmemory.Budget
 }
 
 // New returns a client for searchers.
@@ -67,15 +82,19 @@
 		DialContext:     d.dial,
 		IdleConnTimeout: idleTimeout,
 		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: sendPingTimeout,
-			PingTimeout:     pingTimeout,
+			SendPingTimeout:               sendPingTimeout,
+			PingTimeout:                   pingTimeout,
+			MaxReceiveBufferPerStream:     streamBufferBytes,
+			MaxReceiveBufferPerConnection: connectionBufferBytes,
 		},
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Client{
 		transport: transport,
 		dialer:    d,
 		header:    http.Header{"Content-Type": {"application/json"}},
 		buffers:   sync.Pool{New: func() any { return new(bytes.Buffer) }},
+		memory:    rrmemory.NewBudget(maxBufferedBytes),
 	}
 }
 
@@ -143,10 +162,19 @@
 	c.buffers.Put(buf)
 }
 
+// limitBody returns a reader of the reply's body, which must be released.
+func (c *Client) limitBody(resp *http.Response) *rrmemory.Reader {
+	return c.memory.NewReader(io.LimitReader(resp.Body, maxReplyBytes), rrmemory.WithCopies(copiesPerReply), rrmemory.WithUncharged(unchargedBytes))
+}
+
 func (c *Client) readReply(ctx context.Context, sub *rrupstream.Request, resp *http.Response) rrupstream.Reply {
 	buf, _ := c.buffers.Get().(*bytes.Buffer)
 	defer c.putBuffer(buf)
-	if _, err := buf.ReadFrom(io.LimitReader(resp.Body, maxReplyBytes)); err != nil {
+	body := c.limitBody(resp)
+	defer body.Release()
+	if _, err := buf.ReadFrom(body); errors.Is(err, rrmemory.ErrExhausted) {
+		return rrupstream.Reply{Outcome: rrupstream.OutcomeFailed}
+	} else if err != nil {
 		return rrupstream.Reply{Outcome: classifyError(ctx, true, err)}
 	}
 	r := Reply{Hits: make([]rrquery.Hit, 0, min(max(0, sub.Limit), rrquery.DefaultLimit))}
@@ -193,7 +221,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return l, eris.Errorf("requesting the load of %s: status %s", to.ID, resp.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&l); err != nil {
+	body := c.limitBody(resp)
+	defer body.Release()
+	if err := json.NewDecoder(body).Decode(&l); err != nil {
 		return l, eris.Wrapf(err, "decoding the load of %s", to.ID)
 	}
 	return l, nil
