Hold no dispatcher's lock after an unexpected error

Some of what they call took a dispatcher's lock without a deferred unlock: evidence and crashes of other daemons, the replacement of a connection. A panic there would have stopped the service for good, without a line.

--- a/internal/app/rrdispatchers/crash.go
+++ b/internal/app/rrdispatchers/crash.go
@@ -94,11 +94,11 @@
 	defer p.mu.RUnlock()
 	var out []rrpeer.CrashedRun
 	for name, d := range p.dispatchers {
-		d.mu.Lock()
-		d.core.TakeCrashes(p.clock(), func(f rrunit.Fingerprint, id rrunit.SearcherID) {
-			out = append(out, rrpeer.CrashedRun{Fingerprint: f, Service: name, Searcher: id})
+		d.access(func(core *rrdispatch.Shard) {
+			core.TakeCrashes(p.clock(), func(f rrunit.Fingerprint, id rrunit.SearcherID) {
+				out = append(out, rrpeer.CrashedRun{Fingerprint: f, Service: name, Searcher: id})
+			})
 		})
-		d.mu.Unlock()
 	}
 	return out
 }
@@ -110,7 +110,5 @@
 	if d == nil {
 		return
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.core.MergeCrash(p.clock(), c.Fingerprint, c.Searcher)
+	d.access(func(core *rrdispatch.Shard) { core.MergeCrash(p.clock(), c.Fingerprint, c.Searcher) })
 }
--- a/internal/app/rrdispatchers/dispatcher.go
+++ b/internal/app/rrdispatchers/dispatcher.go
@@ -153,6 +153,13 @@
 	return d.perform(actions)
 }
 
+// access calls f with the core, under the lock. For what starts no job; step is for the rest.
+func (d *dispatcher) access(f func(core *rrdispatch.Shard)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f(d.core)
+}
+
 // idle returns how many connections to the searcher are idle.
 func (d *dispatcher) idle(id rrunit.SearcherID) int {
 	t, ok := d.targets[id]
--- a/internal/app/rrdispatchers/evidence.go
+++ b/internal/app/rrdispatchers/evidence.go
@@ -19,27 +19,30 @@
 	var out []rrpeer.SearcherEvidence
 	now := p.clock()
 	for name, d := range p.dispatchers {
-		d.mu.Lock()
-		d.core.TakeObservations(func(id rrunit.SearcherID, o rrestimate.Observation) {
-			m := rrpeer.SearcherEvidence{Service: name, Searcher: id, Answered: o.Answered, Failed: o.Failed}
-			if o.ReportedAt > 0 {
-				m.Load = &rrpeer.LoadReport{Age: rrpeer.NewAge(now.Sub(o.ReportedAt)), Requests: o.Report.Load, SlowdownPercent: int(o.Report.Slowdown * percentPerUnit)}
-			}
-			out = append(out, m)
-		})
-		d.core.TakeLimits(func(id rrunit.SearcherID, r rrdispatch.LimitReport) {
-			out = append(out, rrpeer.SearcherEvidence{
-				Service: name, Searcher: id, Limit: &rrpeer.LimitReport{Age: rrpeer.NewAge(now.Sub(r.At)), Limit: r.Limit},
-			})
-		})
-		d.core.TakeLeaving(func(id rrunit.SearcherID) {
-			out = append(out, rrpeer.SearcherEvidence{Service: name, Searcher: id, Leaving: true})
-		})
-		d.mu.Unlock()
+		d.access(func(core *rrdispatch.Shard) { out = appendEvidence(out, name, core, now) })
 	}
 	return out
 }
 
+func appendEvidence(out []rrpeer.SearcherEvidence, name rrunit.ServiceName, core *rrdispatch.Shard, now rrunit.Instant) []rrpeer.SearcherEvidence {
+	core.TakeObservations(func(id rrunit.SearcherID, o rrestimate.Observation) {
+		m := rrpeer.SearcherEvidence{Service: name, Searcher: id, Answered: o.Answered, Failed: o.Failed}
+		if o.ReportedAt > 0 {
+			m.Load = &rrpeer.LoadReport{Age: rrpeer.NewAge(now.Sub(o.ReportedAt)), Requests: o.Report.Load, SlowdownPercent: int(o.Report.Slowdown * percentPerUnit)}
+		}
+		out = append(out, m)
+	})
+	core.TakeLimits(func(id rrunit.SearcherID, r rrdispatch.LimitReport) {
+		out = append(out, rrpeer.SearcherEvidence{
+			Service: name, Searcher: id, Limit: &rrpeer.LimitReport{Age: rrpeer.NewAge(now.Sub(r.At)), Limit: r.Limit},
+		})
+	})
+	core.TakeLeaving(func(id rrunit.SearcherID) {
+		out = append(out, rrpeer.SearcherEvidence{Service: name, Searcher: id, Leaving: true})
+	})
+	return out
+}
+
 // MergeEvidence merges the outcomes that another daemon of this zone reported.
 func (p *Dispatchers) MergeEvidence(evidence []rrpeer.SearcherEvidence) {
 	for i := range evidence {
@@ -60,11 +63,11 @@
 		if m.Leaving {
 			d.recordPeerLeaving(m.Searcher)
 		}
-		d.mu.Lock()
-		d.core.MergeObservations(now, m.Searcher, observed)
-		if l := m.Limit; l != nil {
-			d.core.MergeLimit(now, m.Searcher, rrdispatch.LimitReport{Limit: l.Limit, At: now.Add(-l.Age.Std())})
-		}
-		d.mu.Unlock()
+		d.access(func(core *rrdispatch.Shard) {
+			core.MergeObservations(now, m.Searcher, observed)
+			if l := m.Limit; l != nil {
+				core.MergeLimit(now, m.Searcher, rrdispatch.LimitReport{Limit: l.Limit, At: now.Add(-l.Age.Std())})
+			}
+		})
 	}
 }
--- a/internal/app/rrdispatchers/preconnect.go
+++ b/internal/app/rrdispatchers/preconnect.go
@@ -119,16 +119,21 @@
 // replaceConnection opens a new connection at once if the attempt that just ended
 // closed its connection.
 func (d *dispatcher) replaceConnection(id rrunit.SearcherID) {
+	if t, ok := d.reserveConnection(id); ok {
+		d.preconnect(id, t)
+	}
+}
+
+// reserveConnection returns the searcher's target if a connection is to be opened to it now.
+func (d *dispatcher) reserveConnection(id rrunit.SearcherID) (target, bool) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	t := d.targets[id]
-	open := t.preconnect && d.needsConnection(id, t)
-	if open {
-		d.connecting[id] = true
-	}
-	d.mu.Unlock()
-	if open {
-		d.preconnect(id, t)
+	if !t.preconnect || !d.needsConnection(id, t) {
+		return target{}, false
 	}
+	d.connecting[id] = true
+	return t, true
 }
 
 // preconnect opens a connection to be kept idle, unless the daemon is stopping.
