Send no success to a caller that seems to have left

Cause: net/http ends the request's context at the end of the caller's stream; the request was given up, nothing was written, and net/http then sends its implicit 200.

The answer is now always written: a ready one as it is, and 502, which promises nothing, for a request that was given up. TestHalfClosedConnectionGetsNoSuccess failed before.

Such callers are still not served: the end of a stream does not show whether the caller only stopped sending, and work for callers that have left must end.

--- a/internal/adapter/rrfront/rrfront.go
+++ b/internal/adapter/rrfront/rrfront.go
@@ -38,7 +38,7 @@
 	table := h.gateway.AwaitTable(r.Context(), h.tableWait(r.Header))
 	if table == nil {
 		h.gateway.RecordRefused(h.requestID(r), r.RequestURI, http.StatusServiceUnavailable, rrquery.ReasonStore)
-		h.write(w, r, rrgateway.Refuse(rrquery.ReasonStore, noTableRetryAfter))
+		h.write(w, rrgateway.Refuse(rrquery.ReasonStore, noTableRetryAfter))
 		return
 	}
 	route := table.Match(r.Host, r.URL.EscapedPath())
@@ -71,7 +71,16 @@
 		TimeLeft: h.timeBudget(r.Header),
 		Arrived:  arrived,
 	}
-	h.write(w, r, h.gateway.Serve(r.Context(), table, route, call))
+	h.write(w, sentAnswer(h.gateway.Serve(r.Context(), table, route, call)))
+}
+
+// sentAnswer returns the answer that is sent to the caller. One that seems to have left may
+// only have closed its sending side: without an answer, net/http would send a success.
+func sentAnswer(a *rrgateway.Answer) *rrgateway.Answer {
+	if a.Status != rrgateway.StatusClientClosedRequest {
+		return a
+	}
+	return &rrgateway.Answer{Status: http.StatusBadGateway, Reason: a.Reason}
 }
 
 // noTableRetryAfter is the Retry-After time while the daemon has no routing table.
@@ -163,10 +172,7 @@
 }
 
 // write writes the answer, without the searcher's hop-by-hop fields.
-func (h *Handler) write(w http.ResponseWriter, r *http.Request, a *rrgateway.Answer) {
-	if r.Context().Err() != nil {
-		return
-	}
+func (h *Handler) write(w http.ResponseWriter, a *rrgateway.Answer) {
 	header := w.Header()
 	// Without a type from the searcher, net/http must not guess one.
 	header["Content-Type"] = nil
--- a/internal/adapter/rrfront/rrfront_test.go
+++ b/internal/adapter/rrfront/rrfront_test.go
@@ -35,13 +35,17 @@
 	requests []rrforward.Request
 }
 
-func (r *recorder) Forward(_ context.Context, _ rrforward.Target, req *rrforward.Request, _ time.Duration) rrforward.Response {
+func (r *recorder) Forward(ctx context.Context, _ rrforward.Target, req *rrforward.Request, _ time.Duration) rrforward.Response {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.requests = append(r.requests, *req)
 	if strings.HasPrefix(req.URI, "/one/panic") {
 		panic("unexpected")
 	}
+	if strings.HasPrefix(req.URI, "/one/slow") {
+		<-ctx.Done()
+		return rrforward.Response{Outcome: rrupstream.OutcomeCancelled, Err: ctx.Err()}
+	}
 	return rrforward.Response{Outcome: rrupstream.OutcomeAnswered, Status: http.StatusOK, Header: http.Header{}, Body: []byte("ok"), Signature: "sig"}
 }
 
@@ -133,6 +137,25 @@
 	must.StrHasPrefix(t, "HTTP/1.1 200 ", out)
 }
 
+// Guards against a success without a searcher's answer: a caller that closed its sending side
+// once its request was sent got an empty 200. It is taken for one that has left.
+func TestHalfClosedConnectionGetsNoSuccess(t *testing.T) {
+	address, searchers := serve(t)
+	conn, err := net.Dial("tcp4", address)
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	must.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(conn, "GET /one/slow HTTP/1.1\r\nHost: x.example\r\nX-Id: a1\r\n\r\n")
+	must.NoError(t, err)
+	tcp, ok := conn.(*net.TCPConn)
+	must.True(t, ok)
+	must.NoError(t, tcp.CloseWrite())
+	out, err := io.ReadAll(conn)
+	must.NoError(t, err)
+	must.StrHasPrefix(t, "HTTP/1.1 502 ", string(out))
+	must.One(t, len(searchers.takeRequests()))
+}
+
 // FuzzRequests sends arbitrary bytes as requests. What is forwarded must occur in them
 // unchanged; what comes back must be complete answers, at least one for each request
 // that was forwarded.
--- a/internal/app/rrgateway/gather.go
+++ b/internal/app/rrgateway/gather.go
@@ -75,7 +75,7 @@
 	}
 	r.afterAnswer = func() { cancelParts() }
 	if callerLeft {
-		return &Answer{Status: statusClientClosedRequest, Reason: rrquery.ReasonCancelled}
+		return &Answer{Status: StatusClientClosedRequest, Reason: rrquery.ReasonCancelled}
 	}
 	return r.merge(state)
 }
--- a/internal/app/rrgateway/rrgateway.go
+++ b/internal/app/rrgateway/rrgateway.go
@@ -198,7 +198,7 @@
 		return answer
 	case <-ctx.Done():
 		cancel(true)
-		return &Answer{Status: statusClientClosedRequest, Reason: rrquery.ReasonCancelled}
+		return &Answer{Status: StatusClientClosedRequest, Reason: rrquery.ReasonCancelled}
 	case <-timer.C:
 		cancel(false)
 		return &Answer{Status: http.StatusGatewayTimeout, Reason: rrquery.ReasonDeadline}
@@ -207,9 +207,9 @@
 	}
 }
 
-// statusClientClosedRequest is the status in metrics and logs of a request whose caller
+// StatusClientClosedRequest is the status in metrics and logs of a request whose caller
 // has left; it is never sent.
-const statusClientClosedRequest = 499
+const StatusClientClosedRequest = 499
 
 // drawService returns a random service of the route, by weight.
 func (r *requestRun) drawService() rrunit.ServiceName {
