Pass no encoded body on as a searcher's failure

A signature now counts only if the response is the searcher's as it was sent. TestFailuresThatArePassedOn failed before in both cases of an encoded body.

--- a/internal/adapter/rrconn/exchange.go
+++ b/internal/adapter/rrconn/exchange.go
@@ -186,7 +186,7 @@
 		Status:    res.status,
 		Header:    res.header,
 		Body:      res.body,
-		Signature: res.header.Get(c.fields.Signature),
+		Signature: c.signature(res),
 	}
 	out.Load, out.LoadErr = parseLoad(res.header.Get(c.fields.Load))
 	out.RequestLimit, out.RequestLimitErr = c.decodeLimit(res.header)
@@ -199,6 +199,16 @@
 
 func (c *Client) isNotRun(res *response) bool { return res.header.Get(c.fields.NotRun) != "" }
 
+// signature returns the searcher's proof that the response is its own, whole and as it was
+// sent; empty if there is none. Nothing without it is passed on to callers. Bodies are asked
+// for without any encoding, so that an encoded one is not the searcher's.
+func (c *Client) signature(res *response) string {
+	if res.header.Get("Content-Encoding") != "" {
+		return ""
+	}
+	return res.header.Get(c.fields.Signature)
+}
+
 // outcome classifies the attempt by the searcher's complete response.
 func (c *Client) outcome(res *response) rrupstream.Outcome {
 	switch {
@@ -208,7 +218,7 @@
 		return rrupstream.OutcomeRejected
 	case c.isNotRun(res):
 		return rrupstream.OutcomeShed
-	case res.header.Get(c.fields.Signature) == "" || res.header.Get("Content-Encoding") != "":
+	case c.signature(res) == "":
 		return rrupstream.OutcomeFailed
 	case res.status >= http.StatusInternalServerError:
 		return rrupstream.OutcomeFailed
