Pass on no status that promises more than the searcher said

A signed 503 of a searcher without the field that says not run counts as a failure that may have run, and was passed on to the caller with its status, which promises that it has not run; a caller may then send a non_idempotent request again. A signed 429 or 408 without the field was an answer.

TestFailuresThatArePassedOn failed before in its three cases of 503, 429 and 408.

--- a/internal/adapter/rrconn/exchange.go
+++ b/internal/adapter/rrconn/exchange.go
@@ -203,12 +203,23 @@
 // sent; empty if there is none. Nothing without it is passed on to callers. Bodies are asked
 // for without any encoding, so that an encoded one is not the searcher's.
 func (c *Client) signature(res *response) string {
-	if res.header.Get("Content-Encoding") != "" {
+	if res.header.Get("Content-Encoding") != "" || promisesNotRun(res.status) && !c.isNotRun(res) {
 		return ""
 	}
 	return res.header.Get(c.fields.Signature)
 }
 
+// promisesNotRun reports whether the status alone tells a caller that its request has not run.
+// A searcher says so in a field of its own.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // outcome classifies the attempt by the searcher's complete response.
 func (c *Client) outcome(res *response) rrupstream.Outcome {
 	switch {
--- a/internal/adapter/rrconn/passable_test.go
+++ b/internal/adapter/rrconn/passable_test.go
@@ -21,6 +21,10 @@
 		"failure":         {"HTTP/1.1 500 X\r\n" + signed + "\r\nx", "s"},
 		"encoded success": {"HTTP/1.1 200 X\r\n" + signed + "Content-Encoding: gzip\r\n\r\nx", ""},
 		"encoded failure": {"HTTP/1.1 500 X\r\n" + signed + "Content-Encoding: gzip\r\n\r\nx", ""},
+		// Without the field that says so, these have run for all that is known.
+		"503 that may have run": {"HTTP/1.1 503 X\r\n" + signed + "\r\nx", ""},
+		"429 that may have run": {"HTTP/1.1 429 X\r\n" + signed + "\r\nx", ""},
+		"408 that may have run": {"HTTP/1.1 408 X\r\n" + signed + "\r\nx", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, to := serve(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
