Remember what a searcher said while its entry is away

Cause: the state of a searcher that is no longer listed was dropped unless attempts ran there. With the pause went its word that it leaves and its request limit, and a notice that came while the entry was away was lost.

Notices of attempts that are still in flight count for searchers that are no longer listed.

--- a/internal/policy/rrdispatch/abandon.go
+++ b/internal/policy/rrdispatch/abandon.go
@@ -9,6 +9,9 @@
 	s.timers, s.freeJobs, s.freeAttempts = nil, nil, nil
 	s.actions, s.placed = nil, placement{}
 	s.suspectHeldUntil, s.needsIdle, s.recheckWaiting = 0, false, false
+	for _, w := range s.removed {
+		s.rememberUnlisted(w)
+	}
 	s.removed = nil
 	for _, w := range s.searchers {
 		w.running, w.runsSuspect, w.reserved = nil, false, false
--- a/internal/policy/rrdispatch/configure.go
+++ b/internal/policy/rrdispatch/configure.go
@@ -60,13 +60,17 @@
 		if w == nil {
 			w = removeSearcher(&s.removed, c.ID)
 		}
-		if w == nil {
+		isNew := w == nil
+		if isNew {
 			w = newSearcher(&used)
 		}
 		if w == nil {
 			continue
 		}
 		w.configure(s.now, c)
+		if isNew {
+			s.recallUnlisted(w)
+		}
 		if w.quota != nil {
 			w.quota.SetPhase(s.now, s.quotaPhase(w))
 			w.quota.SetRate(s.now, w.quotaRate())
@@ -76,6 +80,8 @@
 	for _, w := range previous {
 		if len(w.running) > 0 {
 			s.removed = append(s.removed, w)
+		} else {
+			s.rememberUnlisted(w)
 		}
 	}
 	s.clearRemovedBits()
--- a/internal/policy/rrdispatch/finish.go
+++ b/internal/policy/rrdispatch/finish.go
@@ -319,7 +319,11 @@
 		w.runsSuspect = false
 	}
 	s.ranks[s.clampRank(a.rank)].running--
-	if len(w.running) == 0 {
-		s.removed = slices.DeleteFunc(s.removed, func(g *searcher) bool { return g == w })
+	if len(w.running) > 0 {
+		return
+	}
+	if i := slices.Index(s.removed, w); i >= 0 {
+		s.removed = slices.Delete(s.removed, i, i+1)
+		s.rememberUnlisted(w)
 	}
 }
--- a/internal/policy/rrdispatch/leaving.go
+++ b/internal/policy/rrdispatch/leaving.go
@@ -6,7 +6,12 @@
 // the platform's list says, as long as it runs: another process has another id. isOwn is set
 // if it said so to this daemon. It reports whether that is new.
 func (s *Shard) RecordLeaving(id rrunit.SearcherID, isOwn bool) bool {
-	w := s.findSearcher(id)
+	if u, ok := s.unlisted[id]; ok {
+		u.saidLeaving = true
+		s.unlisted[id] = u
+		return false
+	}
+	w := s.findNotified(id)
 	if w == nil || w.saidLeaving {
 		return false
 	}
--- a/internal/policy/rrdispatch/limit.go
+++ b/internal/policy/rrdispatch/limit.go
@@ -33,7 +33,7 @@
 // RecordLimit records the request limit that a searcher named in its answer; nil if it
 // named none.
 func (s *Shard) RecordLimit(now rrunit.Instant, id rrunit.SearcherID, limit *rrunit.Rate) {
-	w := s.findSearcher(id)
+	w := s.findNotified(id)
 	if w == nil {
 		return
 	}
--- a/internal/policy/rrdispatch/pause.go
+++ b/internal/policy/rrdispatch/pause.go
@@ -18,7 +18,7 @@
 // until its end; then one does, and more as answers come. It reports whether the searcher
 // was not paused before.
 func (s *Shard) RecordPause(now rrunit.Instant, id rrunit.SearcherID, pause rrunit.Duration) bool {
-	w := s.findSearcher(id)
+	w := s.findNotified(id)
 	if w == nil || pause <= 0 {
 		return false
 	}
--- a/internal/policy/rrdispatch/shard.go
+++ b/internal/policy/rrdispatch/shard.go
@@ -37,6 +37,9 @@
 	// removed has the searchers that are no longer configured and still have attempts
 	// in flight.
 	removed []*searcher
+	// unlisted has what searchers said that are neither configured nor in removed. There are
+	// at most maxUnlisted.
+	unlisted map[rrunit.SearcherID]unlistedSearcher
 
 	queue *rrqueue.Queue[laneKey, *job]
 	// ready is the method value isReady, stored so that calls don't allocate it.
@@ -78,6 +81,7 @@
 	s := &Shard{
 		jobs:         make(map[JobID]*job),
 		attempts:     make(map[AttemptID]*attempt),
+		unlisted:     make(map[rrunit.SearcherID]unlistedSearcher),
 		rng:          rand.New(rand.NewPCG(cfg.Seed, uint64(len(cfg.Searchers)))),
 		budget:       rrbudget.NewBucket(cfg.ExtraShare, extraBurst, extraOverdraft),
 		sharedBudget: rrbudget.NewWindow(cfg.ExtraWindow.Std(), cfg.ExtraShare, cfg.ExtraSlack, roundingFraction(cfg.Seed)),
