Hold a hedge back while the loss of its first attempt is checked

The end of a lost attempt waits for the check whether its searcher is dead, so that the retry runs as a suspect. TestHedgeWaitsForTheCrashCheck failed before in both of its cases.

--- a/internal/app/rrdispatchers/crash.go
+++ b/internal/app/rrdispatchers/crash.go
@@ -34,11 +34,16 @@
 }
 
 // checkLoss starts a check of the attempt's searcher if its connection was lost, and waits
-// at most maxCrashWait for the result. It returns nil if there is nothing to check.
-func (d *dispatcher) checkLoss(at *attempt) *crashCheck {
+// at most maxCrashWait for the result, with further attempts of the job. It returns nil if
+// there is nothing to check.
+func (d *dispatcher) checkLoss(id rrdispatch.AttemptID, at *attempt) *crashCheck {
 	if !at.response.Outcome.IsConnectionEnd() && !at.response.IsBroken() {
 		return nil
 	}
+	d.step(func(now rrunit.Instant) []rrdispatch.Action {
+		d.core.HoldHedge(now, id, maxCrashWait)
+		return nil
+	})
 	c := &crashCheck{done: make(chan struct{})}
 	d.parent.pool.run(func() {
 		defer close(c.done)
--- a/internal/app/rrdispatchers/dispatcher.go
+++ b/internal/app/rrdispatchers/dispatcher.go
@@ -327,7 +327,7 @@
 }
 
 func (d *dispatcher) finish(id rrdispatch.AttemptID, at *attempt) {
-	check := d.checkLoss(at)
+	check := d.checkLoss(id, at)
 	isDead := check.isDead()
 	d.step(func(now rrunit.Instant) []rrdispatch.Action {
 		var actions []rrdispatch.Action
--- a/internal/policy/rrdispatch/suspect.go
+++ b/internal/policy/rrdispatch/suspect.go
@@ -123,6 +123,26 @@
 	})
 }
 
+// HoldHedge postpones the second attempt of a job for the time, while it is found out whether
+// the request ended the searcher of the first. The second would end another one.
+func (s *Shard) HoldHedge(now rrunit.Instant, id AttemptID, wait time.Duration) {
+	s.begin(now)
+	a := s.attempts[id]
+	if a == nil || a.job == nil {
+		return
+	}
+	j := a.job
+	until := now.Add(wait)
+	switch {
+	case j.entry.Queued():
+		s.queue.Remove(&j.entry)
+		j.hedgeAt = until
+	case j.hedgeAt != 0:
+		j.hedgeAt = max(j.hedgeAt, until)
+	}
+	s.updateTimer(j)
+}
+
 // TakeCrashes calls f, once each, with the crashes after which nobody has answered the
 // request.
 func (s *Shard) TakeCrashes(now rrunit.Instant, f func(rrunit.Fingerprint, rrunit.SearcherID)) {
--- a/internal/policy/rrdispatch/suspect_test.go
+++ b/internal/policy/rrdispatch/suspect_test.go
@@ -1,6 +1,7 @@
 package rrdispatch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -51,3 +52,40 @@
 		return a.Kind == rrdispatch.ActionSend && a.Searcher == id
 	})
 }
+
+// Guards against a second searcher that ends under the same request: the hedge left while it
+// was found out whether the loss of the first attempt was a crash.
+func TestHedgeWaitsForTheCrashCheck(t *testing.T) {
+	const check = 50 * time.Millisecond
+	for name, isBusy := range map[string]bool{"planned": false, "queued": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newLimitedShard(1, "a", "b")
+			offer := func(idempotent bool) rrdispatch.Action {
+				s.lastJob++
+				return s.Offer(s.now, rrdispatch.Job{
+					ID: s.lastJob, Fingerprint: rrunit.Fingerprint(s.lastJob), Idempotent: idempotent, MaxAttempts: 3, Deadline: s.now.Add(10 * time.Second),
+				})[0]
+			}
+			first := offer(true)
+			hedgeAt, ok := s.Next()
+			must.True(t, ok)
+			var actions []rrdispatch.Action
+			if isBusy {
+				other := offer(false)
+				s.now = hedgeAt
+				must.SliceEmpty(t, s.Tick(s.now))
+				s.HoldHedge(s.now, first.Attempt, check)
+				actions = s.Finish(s.now, other.Attempt, rrupstream.OutcomeAnswered)
+			} else {
+				s.now = hedgeAt - 1
+				s.HoldHedge(s.now, first.Attempt, check)
+				actions = s.Tick(hedgeAt)
+			}
+			heldAt := s.now
+			isHedge := func(a rrdispatch.Action) bool { return a.Kind == rrdispatch.ActionSend && a.Job == first.Job }
+			must.False(t, slices.ContainsFunc(actions, isHedge))
+			must.False(t, slices.ContainsFunc(s.Tick(heldAt.Add(check)-1), isHedge))
+			must.True(t, slices.ContainsFunc(s.Tick(heldAt.Add(check)), isHedge))
+		})
+	}
+}
