Contain errors in carrying out a dispatcher's decisions too

A panic while a decision was carried out, after the core had made it, still passed through the dispatcher: at a timer it would have ended the daemon, in a task it would have left its requests without an end. The same containment now covers the call and its actions.

--- a/internal/app/rrdispatchers/dispatcher.go
+++ b/internal/app/rrdispatchers/dispatcher.go
@@ -146,11 +146,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	defer d.schedule()
-	actions, err := d.decide(call)
-	if err != nil {
-		return d.abandonAll(err)
+	var replies []func()
+	if err := rrpanic.Do(func() { d.perform(call(d.parent.clock()), &replies) }); err != nil {
+		d.abandonAll(err, &replies)
 	}
-	return d.perform(actions)
+	return replies
 }
 
 // access calls f with the core, under the lock. For what starts no job; step is for the rest.
@@ -169,10 +169,9 @@
 	return d.parent.forwarder.IdleConnections(t.Target)
 }
 
-// perform carries out actions and returns the replies, which must be sent without
-// holding the lock. The caller holds mu.
-func (d *dispatcher) perform(actions []rrdispatch.Action) []func() {
-	var replies []func()
+// perform carries out actions and adds the replies, which must be sent without holding the
+// lock. The caller holds mu.
+func (d *dispatcher) perform(actions []rrdispatch.Action, replies *[]func()) {
 	for i := range actions {
 		a := &actions[i]
 		switch a.Kind {
@@ -182,17 +181,16 @@
 			d.cancelAttempt(a)
 		case rrdispatch.ActionReply:
 			if reply := d.reply(a); reply != nil {
-				replies = append(replies, reply)
+				*replies = append(*replies, reply)
 			}
 		case rrdispatch.ActionQuarantine:
 			q := rrpeer.Quarantine{Fingerprint: a.Fingerprint, TimeLeft: a.RetryAfter}
-			replies = append(replies, func() { d.parent.quarantineAndAnnounce(d.name, q) })
+			*replies = append(*replies, func() { d.parent.quarantineAndAnnounce(d.name, q) })
 		case rrdispatch.ActionStatus:
 			d.parent.metrics.Count(rrmetrics.GroupSearcherStatus, string(a.Status))
 			d.parent.log.StateChange("searcher "+string(a.Status), "service", d.name, "searcher", a.Searcher, "cause", a.Cause)
 		}
 	}
-	return replies
 }
 
 // cancelAttempt ends an attempt that is no longer needed, at once or after cancelDelay.
--- a/internal/app/rrdispatchers/goroutine_pool.go
+++ b/internal/app/rrdispatchers/goroutine_pool.go
@@ -38,7 +38,7 @@
 	timer := time.NewTimer(idleGoroutineTime)
 	defer timer.Stop()
 	for {
-		if err := protect(f); err != nil {
+		if err := rrpanic.Do(f); err != nil {
 			p.onError(err)
 		}
 		timer.Reset(idleGoroutineTime)
@@ -52,12 +52,5 @@
 	}
 }
 
-// protect runs f, and returns its panic as an error.
-func protect(f func()) (err error) {
-	defer rrpanic.Recover(&err)
-	f()
-	return nil
-}
-
 // wait returns once ctx has ended and all functions have returned.
 func (p *goroutinePool) wait() { p.running.Wait() }
--- a/internal/app/rrowner/shard.go
+++ b/internal/app/rrowner/shard.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrdefinition"
+	"rhubarbreel.example/rhubarbreel/internal/domain/rrpanic"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrpeer"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrquery"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
@@ -129,17 +130,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.schedule()
-	actions, err := s.decide(call)
-	if err != nil {
-		return s.abandonAll(err)
+	var replies []func()
+	if err := rrpanic.Do(func() { s.perform(call(s.owner.clock()), &replies) }); err != nil {
+		s.abandonAll(err, &replies)
 	}
-	return s.perform(actions)
+	return replies
 }
 
-// perform carries out actions and returns the replies, which must be sent without
-// holding the lock. The caller holds mu.
-func (s *shard) perform(actions []rrdispatch.Action) []func() {
-	var replies []func()
+// perform carries out actions and adds the replies, which must be sent without holding the
+// lock. The caller holds mu.
+func (s *shard) perform(actions []rrdispatch.Action, replies *[]func()) {
 	for i := range actions {
 		a := &actions[i]
 		switch a.Kind {
@@ -151,14 +151,13 @@
 			}
 		case rrdispatch.ActionReply:
 			if reply := s.reply(a); reply != nil {
-				replies = append(replies, reply)
+				*replies = append(*replies, reply)
 			}
 		case rrdispatch.ActionQuarantine:
 			q := rrpeer.Quarantine{Fingerprint: a.Fingerprint, TimeLeft: a.RetryAfter}
-			replies = append(replies, func() { s.owner.quarantineAndAnnounce(q) })
+			*replies = append(*replies, func() { s.owner.quarantineAndAnnounce(q) })
 		}
 	}
-	return replies
 }
 
 func (s *shard) reply(a *rrdispatch.Action) func() {
--- a/internal/domain/rrpanic/rrpanic.go
+++ b/internal/domain/rrpanic/rrpanic.go
@@ -20,6 +20,13 @@
 	}
 }
 
+// Do runs f, and returns its panic as an error.
+func Do(f func()) (err error) {
+	defer Recover(&err)
+	f()
+	return nil
+}
+
 // origin returns the file and line of the statement that panicked.
 func origin() string {
 	const (
