--- a/internal/policy/rrdispatch/abandon.go
+++ b/internal/policy/rrdispatch/abandon.go
@@ -8,7 +8,7 @@
 	clear(s.attempts)
 	s.timers, s.freeJobs, s.freeAttempts = nil, nil, nil
 	s.actions, s.placed = nil, placement{}
-	s.suspectHeldUntil, s.needsIdle, s.recheckWaiting = 0, false, false
+	s.suspectHeldUntil, s.needsIdle, s.recheckWaiting, s.recheckPauses = 0, false, false, false
 	for _, w := range s.removed {
 		s.rememberUnlisted(w)
 	}
--- a/internal/policy/rrdispatch/pause.go
+++ b/internal/policy/rrdispatch/pause.go
@@ -1,6 +1,9 @@
 package rrdispatch
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrquery"
@@ -27,9 +30,24 @@
 	end := now.Add(pause.Std() + time.Duration(s.rng.Float64()*float64(spread)))
 	w.pausedUntil = max(w.pausedUntil, end)
 	w.enterSlowStart()
+	s.recheckPauses = true
 	return isNew
 }
 
+// replyAllPaused replies to all waiting jobs that the pauses leave no attempt in time.
+func (s *Shard) replyAllPaused(now rrunit.Instant) {
+	if _, ok := s.pauseEnd(now, laneKey{}); !ok {
+		return
+	}
+	waiting := slices.DeleteFunc(slices.Collect(maps.Values(s.jobs)), func(j *job) bool { return !j.entry.Queued() || len(j.running) > 0 })
+	slices.SortFunc(waiting, func(a, b *job) int { return cmp.Compare(a.ID, b.ID) })
+	for _, j := range waiting {
+		if reason, wait := s.pauseRefusal(now, j); reason != rrquery.ReasonNone {
+			s.reply(j, reason, wait)
+		}
+	}
+}
+
 // isPaused reports whether the searcher wants no attempts of this daemon now.
 func (w *searcher) isPaused(now rrunit.Instant) bool { return now < w.pausedUntil }
 
--- a/internal/policy/rrdispatch/pause_test.go
+++ b/internal/policy/rrdispatch/pause_test.go
@@ -8,6 +8,7 @@
 
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrquery"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrdispatch"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrupstream"
 )
 
@@ -57,6 +58,41 @@
 	must.Between(t, 3*time.Second, s.replies[0].RetryAfter.Std(), 3500*time.Millisecond)
 }
 
+// Jobs that wait already are refused at once when the last searcher asks for a pause that ends
+// too late for them, with its end. Others go on waiting.
+func TestLastPauseRefusesWaitingJobs(t *testing.T) {
+	s := newLimitedShard(1, "a", "b")
+	offer := func(left time.Duration) rrdispatch.JobID {
+		s.lastJob++
+		s.record(s.Offer(s.now, rrdispatch.Job{ID: s.lastJob, Fingerprint: rrunit.Fingerprint(s.lastJob), MaxAttempts: 3, Deadline: s.now.Add(left)}))
+		return s.lastJob
+	}
+	offer(time.Minute)
+	offer(time.Minute)
+	late, patient := offer(2*time.Second), offer(time.Minute)
+	must.MapLen(t, 2, s.running)
+	s.now = s.now.Add(time.Millisecond)
+	s.RecordPause(s.now, "a", rrunit.Duration(10*time.Second))
+	s.RecordPause(s.now, "b", rrunit.Duration(20*time.Second))
+	s.record(s.Tick(s.now))
+	must.Len(t, 1, s.replies)
+	must.Eq(t, late, s.replies[0].Job)
+	must.Eq(t, rrquery.ReasonPaused, s.replies[0].Reason)
+	must.Between(t, 10*time.Second, s.replies[0].RetryAfter.Std(), 10500*time.Millisecond)
+	sent := len(s.sent["a"])
+	for id, searcher := range s.running {
+		delete(s.running, id)
+		if searcher == "a" {
+			s.record(s.Finish(s.now, id, rrupstream.OutcomeAnswered))
+		}
+	}
+	must.Len(t, sent, s.sent["a"])
+	s.now = s.now.Add(11 * time.Second)
+	s.record(s.Tick(s.now))
+	must.Len(t, sent+1, s.sent["a"])
+	must.Len(t, 1, s.replies, must.Sprint(patient))
+}
+
 // A searcher that refuses again after its pause is not taken for down or overloaded.
 func TestRefusalAfterAPause(t *testing.T) {
 	s := newLimitedShard(3, "a")
--- a/internal/policy/rrdispatch/shard.go
+++ b/internal/policy/rrdispatch/shard.go
@@ -68,6 +68,9 @@
 	// recheckWaiting is set if searchers may have closed or lost versions, so that waiting
 	// jobs may have become unservable.
 	recheckWaiting bool
+	// recheckPauses is set if a pause has begun or is longer, so that waiting jobs may have
+	// become unservable in time.
+	recheckPauses bool
 
 	actions []Action
 	// cause is the outcome that the current call handles; empty if none.
@@ -385,6 +388,10 @@
 		s.recheckWaiting = false
 		s.replyAllUnservable(now)
 	}
+	if s.recheckPauses {
+		s.recheckPauses = false
+		s.replyAllPaused(now)
+	}
 	s.dispatch()
 	s.emitStatusChanges()
 	out := s.actions
