Keep the limit of a body to the byte, and doubt refusals after other responses

Found on reading the diff. Reading in pieces let a body exceed its limit of 8 MB by part of a piece (TestBodyLimit failed); and a refusal without an id that follows another response in the same exchange is no better than one on a used connection (TestRefusalWithoutIDProvesNothingAfterAnotherResponse).

--- a/internal/adapter/rrconn/body.go
+++ b/internal/adapter/rrconn/body.go
@@ -45,7 +45,7 @@
 		}
 	}()
 	size := 0
-	for size <= maxBodyBytes {
+	for {
 		c, ok := b.chunks.Get().(*bodyChunk)
 		if !ok {
 			c = new(bodyChunk)
@@ -54,13 +54,14 @@
 		n, err := fill(r, c[:])
 		size += n
 		switch {
+		case size > maxBodyBytes:
+			return nil, eris.Errorf("body is longer than %d bytes", maxBodyBytes)
 		case errors.Is(err, io.EOF):
 			return join(chunks, size), nil
 		case err != nil:
 			return nil, err
 		}
 	}
-	return nil, eris.Errorf("body is longer than %d bytes", maxBodyBytes)
 }
 
 // fill reads until p is full. Unlike io.ReadFull it tells the end of r from a body that
--- a/internal/adapter/rrconn/exchange.go
+++ b/internal/adapter/rrconn/exchange.go
@@ -112,6 +112,8 @@
 // receive reads responses until one matches the request.
 func (c *Client) receive(ctx context.Context, p *pool, pc *persistConn, req *rrforward.Request, start time.Time) rrforward.Response {
 	defer pc.limit.release()
+	// hasResponse is set once the connection has carried any response.
+	hasResponse := pc.used
 	for range maxUnmatchedResponses {
 		pc.limit.startHeader()
 		if _, err := pc.r.Peek(1); err != nil {
@@ -121,7 +123,7 @@
 		if err != nil {
 			return unusableResponse(ctx, err)
 		}
-		if pc.used && c.isAnonymousRefusal(res) {
+		if hasResponse && c.isAnonymousRefusal(res) {
 			return unusableResponse(ctx, errAnonymousRefusal)
 		}
 		if c.matches(res, req) {
@@ -132,6 +134,7 @@
 			}
 			return c.accept(pc, res)
 		}
+		hasResponse = hasResponse || res.status >= http.StatusOK
 	}
 	return unusableResponse(ctx, errUnmatchedResponses)
 }
--- a/internal/adapter/rrconn/limit_test.go
+++ b/internal/adapter/rrconn/limit_test.go
@@ -137,3 +137,31 @@
 	})
 	return c.Forward(t.Context(), to, newRequest("1"), 10*time.Second)
 }
+
+// The longest body is read whole, with and without an announced length, and one byte more
+// fails the attempt.
+func TestBodyLimit(t *testing.T) {
+	const maxBody = 8 << 20
+	for _, framing := range []string{"Content-Length: %d\r\n\r\n", "Connection: close\r\n\r\n"} {
+		for size, want := range map[int]rrupstream.Outcome{
+			0: rrupstream.OutcomeAnswered, 1: rrupstream.OutcomeAnswered, 16 << 10: rrupstream.OutcomeAnswered, 16<<10 + 1: rrupstream.OutcomeAnswered,
+			maxBody: rrupstream.OutcomeAnswered, maxBody + 1: rrupstream.OutcomeFailed, maxBody + 16<<10: rrupstream.OutcomeFailed,
+		} {
+			body := strings.Repeat("x", size/2) + strings.Repeat("y", size-size/2)
+			_, to := serve(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+				if _, _, err := read(r); err == nil {
+					head := "HTTP/1.1 200 OK\r\n" + idHeader + "X-Sign: s\r\n" + framing
+					if strings.Contains(framing, "%d") {
+						head = fmt.Sprintf(head, size)
+					}
+					_, _ = io.WriteString(conn, head+body)
+				}
+			})
+			res := newClient(t).Forward(t.Context(), to, newRequest("1"), 10*time.Second)
+			must.Eq(t, want, res.Outcome, must.Sprintf("%d bytes: %v", size, res.Err))
+			if want == rrupstream.OutcomeAnswered {
+				must.True(t, string(res.Body) == body, must.Sprintf("%d bytes", size))
+			}
+		}
+	}
+}
--- a/internal/adapter/rrconn/unnamed_test.go
+++ b/internal/adapter/rrconn/unnamed_test.go
@@ -43,6 +43,23 @@
 	}
 }
 
+// The same goes for the first request on a connection once another response was skipped.
+func TestRefusalWithoutIDProvesNothingAfterAnotherResponse(t *testing.T) {
+	const refusal = "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for before, want := range map[string]rrupstream.Outcome{
+		okResponse("r-0", "another's"):             rrupstream.OutcomeFailed,
+		"HTTP/1.1 102 Processing\r\n\r\n":          rrupstream.OutcomeShed,
+		"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n": rrupstream.OutcomeShed,
+	} {
+		_, to := serve(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+			if _, _, err := read(r); err == nil {
+				_, _ = io.WriteString(conn, before+refusal)
+			}
+		})
+		must.Eq(t, want, forward(t, newClient(t), to, newRequest("1")).Outcome, must.Sprint(before))
+	}
+}
+
 // A response that names two requests answers neither.
 func TestResponseWithTwoIDsIsSkipped(t *testing.T) {
 	const both = "HTTP/1.1 503 X\r\n" + idHeader + "X-Id: r-0\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
