--- a/internal/app/rrgateway/gather.go
+++ b/internal/app/rrgateway/gather.go
@@ -56,28 +56,22 @@
 	})}
 	decision, callerLeft := r.collect(ctx, state, results)
 	r.covered = state.core.Succeeded()
-	cancelParts := func() (wereSent bool) {
+	r.afterAnswer = func() {
 		for i, cancel := range cancels {
 			job := cancel(callerLeft)
 			if !state.settled[i] {
 				r.logOmitted(shards[i], &job)
-				wereSent = wereSent || len(job.Trace) > 0
 			}
 		}
-		return wereSent
 	}
-	if !callerLeft && decision == rrgather.DecisionFail {
-		if cancelParts() {
-			// A searcher may be running its part.
-			state.run = rrpeer.RunMaybe
-		}
-		return state.failure()
-	}
-	r.afterAnswer = func() { cancelParts() }
-	if callerLeft {
+	switch {
+	case callerLeft:
 		return &Answer{Status: StatusClientClosedRequest, Reason: rrquery.ReasonCancelled}
+	case decision == rrgather.DecisionAnswer:
+		return r.merge(state)
+	default:
+		return state.failure()
 	}
-	return r.merge(state)
 }
 
 // refuseGather returns the answer to a request that too many shards refuse. It was offered
@@ -150,11 +144,7 @@
 	if reason == rrquery.ReasonNone {
 		reason = rrquery.ReasonDeadline
 	}
-	answer := failure(run, reason, g.retryAfter)
-	// The shards that refused can't serve the caller's next attempt sooner, whatever the
-	// others did.
-	answer.RetryAfter = max(answer.RetryAfter, g.retryAfter)
-	return answer
+	return failure(run, reason, g.retryAfter)
 }
 
 func (r *requestRun) merge(g *gatherState) *Answer {
