--- a/internal/app/rrgateway/gather.go
+++ b/internal/app/rrgateway/gather.go
@@ -56,22 +56,28 @@
 	})}
 	decision, callerLeft := r.collect(ctx, state, results)
 	r.covered = state.core.Succeeded()
-	r.afterAnswer = func() {
+	cancelParts := func() (wereSent bool) {
 		for i, cancel := range cancels {
 			job := cancel(callerLeft)
 			if !state.settled[i] {
 				r.logOmitted(shards[i], &job)
+				wereSent = wereSent || len(job.Trace) > 0
 			}
 		}
+		return wereSent
 	}
-	switch {
-	case callerLeft:
-		return &Answer{Status: StatusClientClosedRequest, Reason: rrquery.ReasonCancelled}
-	case decision == rrgather.DecisionAnswer:
-		return r.merge(state)
-	default:
+	if !callerLeft && decision == rrgather.DecisionFail {
+		if cancelParts() {
+			// A searcher may be running its part.
+			state.run = rrpeer.RunMaybe
+		}
 		return state.failure()
 	}
+	r.afterAnswer = func() { cancelParts() }
+	if callerLeft {
+		return &Answer{Status: StatusClientClosedRequest, Reason: rrquery.ReasonCancelled}
+	}
+	return r.merge(state)
 }
 
 // refuseGather returns the answer to a request that too many shards refuse. It was offered
@@ -144,7 +150,11 @@
 	if reason == rrquery.ReasonNone {
 		reason = rrquery.ReasonDeadline
 	}
-	return failure(run, reason, g.retryAfter)
+	answer := failure(run, reason, g.retryAfter)
+	// The shards that refused can't serve the caller's next attempt sooner, whatever the
+	// others did.
+	answer.RetryAfter = max(answer.RetryAfter, g.retryAfter)
+	return answer
 }
 
 func (r *requestRun) merge(g *gatherState) *Answer {
--- a/internal/app/rrgateway/gather_test.go
+++ b/internal/app/rrgateway/gather_test.go
@@ -40,33 +40,19 @@
 
 func (searchers) Connect(context.Context, rrforward.Target) error { return nil }
 
-// gatherCase is a query over the shards one and two.
-type gatherCase struct {
-	searchers searchers
-	// services are those that have a searcher.
-	services []rrunit.ServiceName
-	want     int
-}
-
-// Guards against a refusal that is untrue: a query of which one shard refused its part is
-// answered as not run while the searcher of another shard is running its own.
+// Guards against a refusal that is untrue: a query of which one shard refused its part was
+// answered as not run while the searcher of another shard was running its own.
 func TestRefusedShardWhileAnotherRuns(t *testing.T) {
-	checkGather(t, map[string]gatherCase{
-		"another runs": {searchers{"one": rrupstream.OutcomeShed}, []rrunit.ServiceName{"one", "two"}, http.StatusBadGateway},
-	})
-}
-
-func TestQueryOfTooFewShards(t *testing.T) {
-	checkGather(t, map[string]gatherCase{
+	for name, c := range map[string]struct {
+		searchers searchers
+		services  []rrunit.ServiceName
+		want      int
+	}{
+		"another runs":       {searchers{"one": rrupstream.OutcomeShed}, []rrunit.ServiceName{"one", "two"}, http.StatusBadGateway},
 		"another failed":     {searchers{"one": rrupstream.OutcomeShed, "two": rrupstream.OutcomeFailed}, []rrunit.ServiceName{"one", "two"}, http.StatusBadGateway},
 		"another has none":   {searchers{}, []rrunit.ServiceName{"one"}, http.StatusServiceUnavailable},
 		"nobody has started": {searchers{}, nil, http.StatusServiceUnavailable},
-	})
-}
-
-func checkGather(t *testing.T, cases map[string]gatherCase) {
-	t.Helper()
-	for name, c := range cases {
+	} {
 		t.Run(name, func(t *testing.T) {
 			logger := rrlog.New(io.Discard)
 			defer logger.Close()
@@ -99,6 +85,7 @@
 				Request: rrforward.Request{Method: http.MethodGet, URI: "/q", Host: "x.example", ID: "a1"}, Arrived: gateway.Now(),
 			})
 			must.Eq(t, c.want, answer.Status, must.Sprint(answer.Reason))
+			must.Positive(t, answer.RetryAfter)
 		})
 	}
 }
