--- a/internal/adapter/rrsearch/rrsearch.go
+++ b/internal/adapter/rrsearch/rrsearch.go
@@ -36,10 +36,12 @@
 	// maxHeaderBytes is the longest header of a reply.
 	maxHeaderBytes = 64 << 10
 	// unchargedBytes of each reply don't count toward maxBufferedBytes, which bounds the
-	// memory of all replies that are being read. A reply is copied once as its buffer grows.
+	// memory of all replies that are being read.
 	unchargedBytes   = 16 << 10
 	maxBufferedBytes = 16 << 20
-	copiesPerReply   = 3
+	// copiesPerReply is the memory of a reply, as a multiple of its size, while its buffer
+	// grows: the full buffer and a new one of twice the size.
+	copiesPerReply = 3
 	// streamBufferBytes and connectionBufferBytes are how much a searcher may send ahead of
 	// what was read of a reply, and of all replies on a connection.
 	streamBufferBytes     = 256 << 10
