--- /dev/null
+++ b/internal/test/rrplatform/crash_scale_test.go
@@ -0,0 +1,172 @@
+package rrplatform_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Bounds of the users on a request that crashes searchers: it reaches searchers in at most
+// maxLateRequests requests that come later than crashSettleTime after its third crash.
+const (
+	crashSettleTime = 4 * time.Second
+	maxLateRequests = 3
+)
+
+// crashesOf returns the crashes of the crashing request of the name, whose requests have the
+// ids NAME-NUMBER.
+func (l *crashLog) crashesOf(name string) []crash {
+	return slices.DeleteFunc(l.all(), func(c crash) bool { return !strings.HasPrefix(c.id, name+"-") })
+}
+
+// lateRequests returns how many requests of the crashing request of the name reached
+// searchers later than crashSettleTime after its third crash.
+func (l *crashLog) lateRequests(name string) int {
+	crashes := l.crashesOf(name)
+	if len(crashes) < 3 {
+		return 0
+	}
+	ids := make(map[string]bool)
+	for _, c := range crashes[3:] {
+		if c.at.Sub(crashes[2].at) > crashSettleTime {
+			ids[c.id] = true
+		}
+	}
+	return len(ids)
+}
+
+// crashingShards returns a fleet whose shards have four searchers each, all of which end
+// when they begin to run a crashing request and start again after the time given.
+func crashingShards(t *testing.T, restart time.Duration) (*fleet, *crashLog) {
+	t.Helper()
+	f := newFleet(t)
+	log := &crashLog{}
+	for range 2 {
+		for _, service := range []string{"s0", "s1", "s2"} {
+			f.addSearcher(service, "a")
+		}
+	}
+	for _, s := range f.searchers {
+		f.crashing(s, "a", crashResets, restart, 1, log)
+	}
+	return f, log
+}
+
+// repeatCrashing sends the crashing request of the name to random daemons again and again
+// for the time, each with one retry at another daemon, as callers do.
+func repeatCrashing(daemons []*daemon, name string, interval, duration time.Duration) {
+	path := "/all/" + name + "-" + crashPath
+	n := 0
+	for start := time.Now(); time.Since(start) < duration; time.Sleep(interval/2 + rand.N(interval)) {
+		for range 2 {
+			n++
+			a := daemons[rand.IntN(len(daemons))].call(call{path: path, id: fmt.Sprintf("%s-%d", name, n)})
+			if a.status == http.StatusOK || a.header.Get("Retry-After") != "" {
+				break
+			}
+		}
+	}
+}
+
+// A hundred requests that crash searchers come again and again at all daemons: they hide
+// each other, and the daemons tell each other of the first few alone.
+func TestManyCrashingRequestsAreRetriedForever(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs 6 daemons under load for 25 s")
+	}
+	f, log := crashingShards(t, 400*time.Millisecond)
+	daemons := f.startDaemons(slices.Repeat([]string{"a", "b"}, 3)...)
+	stopLoad := f.load(daemons, "/all/")
+	time.Sleep(time.Second)
+	var names []string
+	var callers sync.WaitGroup
+	for i := range 100 {
+		name := fmt.Sprintf("crashing%d", i)
+		names = append(names, name)
+		callers.Go(func() {
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			repeatCrashing(daemons, name, time.Second, 22*time.Second)
+		})
+	}
+	callers.Wait()
+	stopLoad()
+	logCrashes(t, log, names)
+	for _, name := range names {
+		must.LessEq(t, maxLateRequests, log.lateRequests(name), must.Sprint(name))
+	}
+}
+
+// logCrashes logs how many crashes the crashing requests caused, and the late requests.
+func logCrashes(t *testing.T, log *crashLog, names []string) {
+	t.Helper()
+	worst, broken := 0, 0
+	for _, name := range names {
+		late := log.lateRequests(name)
+		worst = max(worst, late)
+		if late > maxLateRequests {
+			broken++
+		}
+	}
+	crashes := log.all()
+	must.Positive(t, len(crashes))
+	t.Logf("%d crashes of %d requests; %d of them late more than %d times, at most %d times", len(crashes), len(names), broken, maxLateRequests, worst)
+	perSecond := make([]int, 60)
+	for _, c := range crashes {
+		perSecond[min(len(perSecond)-1, int(c.at.Sub(crashes[0].at).Seconds()))]++
+	}
+	t.Logf("crashes by second: %v", perSecond)
+}
+
+// A single crashing request that is sent to all shards at once ends one searcher after the
+// other at each of them, as each shard finds out by itself.
+func TestEachShardFindsACrashingRequestByItself(t *testing.T) {
+	f, log := crashingShards(t, 5*time.Second)
+	daemons := f.startDaemons("a", "b", "a")
+	stopLoad := f.load(daemons, "/all/")
+	time.Sleep(time.Second)
+	repeatCrashing(daemons, "crashing", 200*time.Millisecond, 2*time.Second)
+	stopLoad()
+	logCrashes(t, log, []string{"crashing"})
+	// One searcher of each shard, and one that proves the cause.
+	must.LessEq(t, shardCount+1, len(log.all()))
+}
+
+// All daemons are restarted at once, and none remembers which requests crash searchers.
+func TestRestartOfAllDaemonsForgetsCrashingRequests(t *testing.T) {
+	if testing.Short() {
+		t.Skip("restarts three daemons")
+	}
+	f, log := crashingFleet(t)
+	daemons := f.startDaemons("a", "b", "a")
+	f.quarantineAt(daemons[0])
+	time.Sleep(time.Second)
+	for _, d := range daemons {
+		d.stop()
+	}
+	for _, d := range daemons {
+		must.NoError(t, <-d.done)
+		d.done <- nil // read by the cleanup
+	}
+	before := len(log.all())
+	var again []*daemon
+	for _, d := range daemons {
+		restarted := f.newDaemon(string(d.settings.Instance), string(d.settings.Zone))
+		restarted.settings = d.settings
+		f.run(restarted)
+		again = append(again, restarted)
+	}
+	for _, d := range again {
+		f.eventually("daemon serves", func() bool { return d.get("/one/").status == http.StatusOK })
+	}
+	for _, d := range again {
+		must.Eq(t, http.StatusServiceUnavailable, d.get("/one/"+crashPath).status)
+	}
+	must.Eq(t, before, len(log.all()))
+}
