Share suspicion between all services of a daemon

Callers saw the gathered kinds of request fail for seconds: one crashing request ended 30 searchers of 30, three at each of ten shards, in 0.34 s.

Cause: each service's dispatcher kept its own suspects, so that the ten parts of one request were ten unknown requests. Each lost a searcher unsuspected and another one on trial, and other daemons' callers repeated that.

Evidence: in TestManyCrashingRequestsAreRetriedForever each service of a daemon begins with the isolation "unsuspected" after another one has lost the same request.

Fix: one tracker for all services. A request that was lost anywhere is suspect at all of them, and its trials wait for each other until a searcher has answered. An answer clears the service that gave it; the suspicion ends once each service that has lost the request has answered it. Searchers that a quarantined request has crashed hide no other request's crash.

Ruled out: a verdict without a trial. A request that is in flight when a zone is lost loses the same set of searchers.

--- a/internal/app/rrdispatchers/crash.go
+++ b/internal/app/rrdispatchers/crash.go
@@ -95,25 +95,15 @@
 
 // TakeCrashes returns, once each, the crashes after which nobody has answered the request.
 func (p *Dispatchers) TakeCrashes() []rrpeer.CrashedRun {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
 	var out []rrpeer.CrashedRun
-	for name, d := range p.dispatchers {
-		d.access(func(core *rrdispatch.Shard) {
-			core.TakeCrashes(p.clock(), func(f rrunit.Fingerprint, id rrunit.SearcherID) {
-				out = append(out, rrpeer.CrashedRun{Fingerprint: f, Service: name, Searcher: id})
-			})
-		})
-	}
+	p.suspects.TakeUnanswered(p.clock(), func(f rrunit.Fingerprint, service rrunit.ServiceName, id rrunit.SearcherID) {
+		out = append(out, rrpeer.CrashedRun{Fingerprint: f, Service: service, Searcher: id})
+	})
 	return out
 }
 
 // AddPeerCrash makes a request suspect after whose run another daemon found a searcher dead.
 func (p *Dispatchers) AddPeerCrash(c rrpeer.CrashedRun) {
 	p.log.StateChange("request suspected", "service", c.Service, "searcher", c.Searcher, "fingerprint", c.Fingerprint)
-	d := p.dispatcher(c.Service)
-	if d == nil {
-		return
-	}
-	d.access(func(core *rrdispatch.Shard) { core.MergeCrash(p.clock(), c.Fingerprint, c.Searcher) })
+	p.suspects.AddPeerLoss(p.clock(), c.Fingerprint, c.Service, c.Searcher)
 }
--- a/internal/app/rrdispatchers/dispatcher.go
+++ b/internal/app/rrdispatchers/dispatcher.go
@@ -101,7 +101,6 @@
 		limits:     make(map[rrunit.SearcherID]*limitState),
 	}
 	d.timer = time.AfterFunc(time.Hour, d.tick)
-	p.applyKnownQuarantines(d)
 	d.update(c)
 	return d
 }
--- a/internal/app/rrdispatchers/quarantine.go
+++ b/internal/app/rrdispatchers/quarantine.go
@@ -65,11 +65,3 @@
 	}
 	return out
 }
-
-// applyKnownQuarantines applies the active quarantines to a new dispatcher. The
-// caller holds mu, and nothing else refers to the dispatcher yet.
-func (p *Dispatchers) applyKnownQuarantines(d *dispatcher) {
-	for fingerprint, until := range p.quarantined {
-		d.core.Quarantine(p.clock(), fingerprint, until)
-	}
-}
--- a/internal/app/rrdispatchers/rrdispatchers.go
+++ b/internal/app/rrdispatchers/rrdispatchers.go
@@ -22,6 +22,7 @@
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrbudget"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrdispatch"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrestimate"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrquarantine"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrforward"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrupstream"
 )
@@ -87,8 +88,11 @@
 	metrics      *rrmetrics.GatewayMetrics
 	serviceTimes *rrestimate.ServiceTimes
 	roundTrips   *rrestimate.RoundTrips
-	settings     atomic.Pointer[rrsettings.GatewaySettings]
-	pool         *goroutinePool
+	// suspects has the requests that may crash searchers, at all services, as one request
+	// can go to many.
+	suspects *rrquarantine.Tracker
+	settings atomic.Pointer[rrsettings.GatewaySettings]
+	pool     *goroutinePool
 
 	catalog atomic.Pointer[rrcatalog.Catalog]
 
@@ -121,6 +125,7 @@
 		metrics:      metrics,
 		serviceTimes: rrestimate.NewServiceTimes(),
 		roundTrips:   rrestimate.NewRoundTrips(),
+		suspects:     rrquarantine.New(quarantineTime),
 		dispatchers:  make(map[rrunit.ServiceName]*dispatcher),
 		onQuarantine: func(rrpeer.Quarantine) {},
 
@@ -328,6 +333,8 @@
 	bounds := &p.settings.Load().Bounds
 	daemons := countDaemons(c)
 	cfg := rrdispatch.Config{
+		Service:            name,
+		Suspects:           p.suspects,
 		QueueLimit:         maxQueuedPerRank,
 		ExtraShare:         bounds.ExtraShare,
 		ExtraWindow:        rrunit.Duration(bounds.ExtraWindow),
--- a/internal/policy/rrdispatch/abandon.go
+++ b/internal/policy/rrdispatch/abandon.go
@@ -4,6 +4,11 @@
 // unknown state. The caller replies to the jobs, and cancels the attempts, whose ends are
 // then ignored. What is known of searchers and requests stays, as do the budgets.
 func (s *Shard) Abandon() {
+	for _, a := range s.attempts {
+		if a.suspect {
+			s.suspects.EndTrial(a.fingerprint)
+		}
+	}
 	clear(s.jobs)
 	clear(s.attempts)
 	s.timers, s.freeJobs, s.freeAttempts = nil, nil, nil
--- a/internal/policy/rrdispatch/finish.go
+++ b/internal/policy/rrdispatch/finish.go
@@ -317,6 +317,7 @@
 	w.running = slices.Delete(w.running, i, i+1)
 	if a.suspect {
 		w.runsSuspect = false
+		s.suspects.EndTrial(a.fingerprint)
 	}
 	s.ranks[s.clampRank(a.rank)].running--
 	if len(w.running) > 0 {
--- a/internal/policy/rrdispatch/outcome.go
+++ b/internal/policy/rrdispatch/outcome.go
@@ -20,13 +20,13 @@
 		s.recordLatency(now, a)
 		s.recordServiceTime(now, a)
 		w.recordAnswer(now, a.version, now.Sub(a.startedAt))
-		s.suspects.RecordAnswer(a.fingerprint)
+		s.suspects.RecordAnswer(a.fingerprint, s.cfg.Service)
 	case rrupstream.OutcomeFailed:
 		if !w.isPaused(now) {
 			w.estimator.RecordFailure(now)
 			s.recordFailure(now, w)
 		}
-		s.suspects.RecordAnswer(a.fingerprint)
+		s.suspects.RecordAnswer(a.fingerprint, s.cfg.Service)
 	case rrupstream.OutcomeShed, rrupstream.OutcomeDraining, rrupstream.OutcomeMisdirected, rrupstream.OutcomeWrongSnapshot:
 		s.recordRefusal(now, a, outcome)
 	case rrupstream.OutcomeUnsent, rrupstream.OutcomeConnectionLost, rrupstream.OutcomeUnresponsive, rrupstream.OutcomeCancelled:
@@ -168,7 +168,7 @@
 
 // recordLoss records the loss of an attempt against its fingerprint.
 func (s *Shard) recordLoss(now rrunit.Instant, f rrunit.Fingerprint, id rrunit.SearcherID, isolation rrquarantine.Isolation) {
-	q, quarantined := s.suspects.RecordLoss(now, rrquarantine.Loss{Fingerprint: f, Searcher: id, Isolation: isolation})
+	q, quarantined := s.suspects.RecordLoss(now, rrquarantine.Loss{Fingerprint: f, Service: s.cfg.Service, Searcher: id, Isolation: isolation})
 	if quarantined {
 		s.emitQuarantine(now, q)
 	}
--- a/internal/policy/rrdispatch/rrdispatch.go
+++ b/internal/policy/rrdispatch/rrdispatch.go
@@ -52,6 +52,11 @@
 
 // Config is the configuration of a shard's dispatcher.
 type Config struct {
+	// Service is the name under which Suspects knows the shard.
+	Service rrunit.ServiceName
+	// Suspects are the suspect and the quarantined requests of all services of the daemon;
+	// nil if the shard has its own. It is not changed by Configure.
+	Suspects  *rrquarantine.Tracker
 	Layout    rrunit.LayoutName
 	Ranks     []Rank
 	Searchers []Searcher
--- a/internal/policy/rrdispatch/shard.go
+++ b/internal/policy/rrdispatch/shard.go
@@ -88,7 +88,10 @@
 		rng:          rand.New(rand.NewPCG(cfg.Seed, uint64(len(cfg.Searchers)))),
 		budget:       rrbudget.NewBucket(cfg.ExtraShare, extraBurst, extraOverdraft),
 		sharedBudget: rrbudget.NewWindow(cfg.ExtraWindow.Std(), cfg.ExtraShare, cfg.ExtraSlack, roundingFraction(cfg.Seed)),
-		suspects:     rrquarantine.New(cfg.QuarantineDuration),
+		suspects:     cfg.Suspects,
+	}
+	if s.suspects == nil {
+		s.suspects = rrquarantine.New(cfg.QuarantineDuration)
 	}
 	s.ready = s.isReady
 	s.Configure(0, cfg)
--- a/internal/policy/rrdispatch/start.go
+++ b/internal/policy/rrdispatch/start.go
@@ -97,6 +97,9 @@
 	s.attempts[a.id] = a
 	w.running = append(w.running, a)
 	w.runsSuspect = p.suspect
+	if p.suspect {
+		s.suspects.BeginTrial(now, j.Fingerprint)
+	}
 	w.reserved = false
 	s.ranks[j.Rank].running++
 	if j.attemptsSent == 0 {
--- a/internal/policy/rrdispatch/suspect.go
+++ b/internal/policy/rrdispatch/suspect.go
@@ -142,14 +142,3 @@
 	}
 	s.updateTimer(j)
 }
-
-// TakeCrashes calls f, once each, with the crashes after which nobody has answered the
-// request.
-func (s *Shard) TakeCrashes(now rrunit.Instant, f func(rrunit.Fingerprint, rrunit.SearcherID)) {
-	s.suspects.TakeUnanswered(now, f)
-}
-
-// MergeCrash makes a request suspect after whose run another daemon found a searcher dead.
-func (s *Shard) MergeCrash(now rrunit.Instant, f rrunit.Fingerprint, id rrunit.SearcherID) {
-	s.suspects.AddPeerLoss(now, f, id)
-}
--- a/internal/policy/rrquarantine/loss.go
+++ b/internal/policy/rrquarantine/loss.go
@@ -9,12 +9,13 @@
 // RecordLoss records the loss of an attempt. It returns the quarantine and true if the
 // request is quarantined at once.
 func (t *Tracker) RecordLoss(now rrunit.Instant, l Loss) (Quarantine, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.recordIncident(now, l.Searcher)
-	t.addUntold(now, l)
 	s := t.suspect(now, l.Fingerprint)
-	if !slices.Contains(s.searchers, l.Searcher) {
-		s.searchers = append(s.searchers, l.Searcher)
-	}
+	t.addUntold(now, s, l)
+	s.addLoss(l.Service, l.Searcher)
+	s.isProven = false
 	s.heldUntil = now.Add(holdTime)
 	t.cancelPending(now, l.Searcher)
 	switch {
@@ -34,6 +35,8 @@
 
 // NextTick returns when Tick is due, or false if no decision is pending.
 func (t *Tracker) NextTick() (rrunit.Instant, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if len(t.pending) == 0 {
 		return 0, false
 	}
@@ -43,6 +46,8 @@
 // Tick makes the decisions that are due, returns the new quarantines, and drops
 // expired suspects.
 func (t *Tracker) Tick(now rrunit.Instant) []Quarantine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var out []Quarantine
 	for len(t.pending) > 0 && t.pending[0].at <= now {
 		p := t.pending[0]
@@ -55,13 +60,29 @@
 	return out
 }
 
-// quarantine quarantines the request for the set duration.
+// quarantine quarantines the request for the set duration. The searchers that it has
+// crashed show no common cause for the losses of others any more.
 func (t *Tracker) quarantine(now rrunit.Instant, f rrunit.Fingerprint) Quarantine {
+	if s := t.suspects[f]; s != nil {
+		t.incidents = slices.DeleteFunc(t.incidents, func(i incident) bool { return slices.Contains(s.searchers, i.searcher) })
+	}
 	q := Quarantine{Fingerprint: f, Until: now.Add(t.duration)}
-	t.Add(now, f, q.Until)
+	t.add(now, f, q.Until)
 	return q
 }
 
+// addLoss adds the searcher to those that were lost and reports whether it is new.
+func (s *suspect) addLoss(service rrunit.ServiceName, id rrunit.SearcherID) bool {
+	if !slices.Contains(s.services, service) {
+		s.services = append(s.services, service)
+	}
+	if slices.Contains(s.searchers, id) {
+		return false
+	}
+	s.searchers = append(s.searchers, id)
+	return true
+}
+
 // recordIncident records the loss of a searcher, and drops incidents older than
 // commonCauseTime. Attempts that are lost at one searcher are one incident.
 func (t *Tracker) recordIncident(now rrunit.Instant, id rrunit.SearcherID) {
--- a/internal/policy/rrquarantine/rrquarantine.go
+++ b/internal/policy/rrquarantine/rrquarantine.go
@@ -4,11 +4,16 @@
 // Connections lost at several searchers at once for another cause, such as the
 // failure of a rack, quarantine no request.
 //
-// The package is independent of jobs and dispatch. Its user reports losses and
+// A request may be sent to many services at once. What is found out at one holds at all
+// of them, and only one of them runs a suspect until a searcher has answered it.
+//
+// The package is independent of jobs and dispatch. Its user reports losses, trials and
 // answers, and queries whether a request may run.
 package rrquarantine
 
 import (
+	"slices"
+	"sync"
 	"time"
 
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
@@ -62,6 +67,12 @@
 	// other daemons to be told. Most requests that were lost with a searcher are answered
 	// by another one sooner.
 	unansweredTime = 250 * time.Millisecond
+	// trialCheckInterval is how often a suspect that waits for the end of its trial at
+	// another service is checked.
+	trialCheckInterval = 10 * time.Millisecond
+	// maxTrialWait is how long a suspect waits for that at most, as the searcher of the
+	// trial may be slow or silent.
+	maxTrialWait = 250 * time.Millisecond
 	// maxUntold limits memory; the oldest loss is dropped first.
 	maxUntold = 64
 	// maxSuspects limits memory; the oldest suspect is dropped first.
@@ -71,8 +82,10 @@
 // Loss is one attempt that ended with a lost connection.
 type Loss struct {
 	Fingerprint rrunit.Fingerprint
-	Searcher    rrunit.SearcherID
-	Isolation   Isolation
+	// Service is that of the searcher; empty where a tracker has one service alone.
+	Service   rrunit.ServiceName
+	Searcher  rrunit.SearcherID
+	Isolation Isolation
 }
 
 // Quarantine is a request that was found to crash searchers, and until when it is
@@ -86,6 +99,12 @@
 type suspect struct {
 	// searchers are those whose connection was lost with the request in flight.
 	searchers []rrunit.SearcherID
+	// services are those of the searchers, without those that have answered the request
+	// since.
+	services []rrunit.ServiceName
+	// isProven is set if a searcher of any service has answered the request since its last
+	// loss, so that its trials at the services need not wait for each other.
+	isProven bool
 	// inconclusive counts the losses that are no proof by themselves.
 	inconclusive int
 	// peerLosses counts the searchers at which only other daemons have lost the request.
@@ -108,24 +127,36 @@
 // untoldLoss is a loss that other daemons were not told of yet.
 type untoldLoss struct {
 	fingerprint rrunit.Fingerprint
+	service     rrunit.ServiceName
 	searcher    rrunit.SearcherID
 	at          rrunit.Instant
 }
 
+// trial are the attempts in flight of one suspect.
+type trial struct {
+	attempts int
+	// holdsUntil is until when other services wait for their end.
+	holdsUntil rrunit.Instant
+}
+
 // timedFingerprint is a fingerprint with the time of its event, in a queue by time.
 type timedFingerprint struct {
 	fingerprint rrunit.Fingerprint
 	at          rrunit.Instant
 }
 
-// Tracker holds the suspect and the quarantined requests of one shard. It is not
-// safe for concurrent use.
+// Tracker holds the suspect and the quarantined requests of one shard, or of all services
+// of a daemon. It is safe for concurrent use.
 type Tracker struct {
+	// mu guards the fields below.
+	mu       sync.Mutex
 	duration time.Duration
 	// suspects has at most maxSuspects entries; expiryQueue holds them with their
 	// expiry, in the order in which they were added.
 	suspects    map[rrunit.Fingerprint]*suspect
 	expiryQueue []timedFingerprint
+	// trials has the suspects that are in flight.
+	trials map[rrunit.Fingerprint]trial
 	// pending holds the suspects with a pending decision, by time.
 	pending []timedFingerprint
 	// quarantined holds the end of each quarantine.
@@ -142,16 +173,31 @@
 	return &Tracker{
 		duration:    duration.Std(),
 		suspects:    make(map[rrunit.Fingerprint]*suspect),
+		trials:      make(map[rrunit.Fingerprint]trial),
 		quarantined: make(map[rrunit.Fingerprint]rrunit.Instant),
 	}
 }
 
 // SetDuration changes the duration of new quarantines.
-func (t *Tracker) SetDuration(duration rrunit.Duration) { t.duration = duration.Std() }
+func (t *Tracker) SetDuration(duration rrunit.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.duration = duration.Std()
+}
 
 // Add quarantines a request. It stays suspect for the set duration afterwards, so
 // that it crashes at most one more searcher.
 func (t *Tracker) Add(now rrunit.Instant, f rrunit.Fingerprint, until rrunit.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.add(now, f, until)
+}
+
+// add implements Add. The caller holds mu.
+func (t *Tracker) add(now rrunit.Instant, f rrunit.Fingerprint, until rrunit.Instant) {
+	if known := t.quarantined[f]; now < known && until <= known {
+		return
+	}
 	t.addSuspect(now, f, until.Add(t.duration))
 	// Each key is handled independently, so the order of the map does not matter.
 	for other, end := range t.quarantined {
@@ -167,6 +213,8 @@
 // State returns the state of the request, and its end if it is held or
 // quarantined.
 func (t *Tracker) State(now rrunit.Instant, f rrunit.Fingerprint) (State, rrunit.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if len(t.quarantined) > 0 {
 		if until, ok := t.quarantined[f]; ok && now < until {
 			return StateQuarantined, until
@@ -176,22 +224,59 @@
 		return StateClear, 0
 	}
 	s := t.suspects[f]
-	switch {
-	case s == nil || now >= s.expiresAt:
+	if s == nil || now >= s.expiresAt {
 		return StateClear, 0
-	case now < max(s.heldUntil, s.decideAt):
-		return StateHeld, max(s.heldUntil, s.decideAt)
-	default:
-		return StateSuspect, 0
 	}
+	if until := max(s.heldUntil, s.decideAt); now < until {
+		return StateHeld, until
+	}
+	if holdsUntil := t.trials[f].holdsUntil; !s.isProven && now < holdsUntil {
+		return StateHeld, min(holdsUntil, now.Add(trialCheckInterval))
+	}
+	return StateSuspect, 0
 }
 
 // Suspects returns how many requests are suspect.
-func (t *Tracker) Suspects() int { return len(t.suspects) }
+func (t *Tracker) Suspects() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.suspects)
+}
+
+// BeginTrial records that a suspect was sent to a searcher.
+func (t *Tracker) BeginTrial(now rrunit.Instant, f rrunit.Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.trials[f] = trial{attempts: t.trials[f].attempts + 1, holdsUntil: now.Add(maxTrialWait)}
+}
+
+// EndTrial records the end of an attempt that BeginTrial has recorded, after its loss or
+// answer.
+func (t *Tracker) EndTrial(f rrunit.Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	running := t.trials[f]
+	running.attempts--
+	if running.attempts <= 0 {
+		delete(t.trials, f)
+		return
+	}
+	t.trials[f] = running
+}
 
-// RecordAnswer clears the suspicion of a request that a searcher answered.
-func (t *Tracker) RecordAnswer(f rrunit.Fingerprint) {
-	if len(t.suspects) > 0 {
+// RecordAnswer records that a searcher of the service has answered the request. It clears
+// the suspicion once each service that has lost the request has answered it, as a request
+// may crash the searchers of some services alone.
+func (t *Tracker) RecordAnswer(f rrunit.Fingerprint, service rrunit.ServiceName) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.suspects[f]
+	if s == nil {
+		return
+	}
+	s.isProven = true
+	s.services = slices.DeleteFunc(s.services, func(name rrunit.ServiceName) bool { return name == service })
+	if len(s.services) == 0 {
 		delete(t.suspects, f)
 	}
 }
--- a/internal/policy/rrquarantine/rrquarantine_test.go
+++ b/internal/policy/rrquarantine/rrquarantine_test.go
@@ -65,7 +65,7 @@
 				state, _ = tr.State(until, 1)
 				must.Eq(t, rrquarantine.StateSuspect, state)
 			}
-			tr.RecordAnswer(1)
+			tr.RecordAnswer(1, "")
 			state, _ = tr.State(until, 1)
 			must.Eq(t, rrquarantine.StateClear, state)
 		})
@@ -79,10 +79,10 @@
 	for f := range rrunit.Fingerprint(2) {
 		tr.RecordLoss(0, rrquarantine.Loss{Fingerprint: f, Searcher: "a", Isolation: rrquarantine.IsolationUnsuspected})
 	}
-	tr.RecordAnswer(0)
+	tr.RecordAnswer(0, "")
 	take := func(now rrunit.Instant) []rrunit.Fingerprint {
 		var out []rrunit.Fingerprint
-		tr.TakeUnanswered(now, func(f rrunit.Fingerprint, id rrunit.SearcherID) {
+		tr.TakeUnanswered(now, func(f rrunit.Fingerprint, _ rrunit.ServiceName, id rrunit.SearcherID) {
 			must.Eq(t, "a", id)
 			out = append(out, f)
 		})
@@ -93,11 +93,13 @@
 	must.Len(t, 0, take(400*ms))
 
 	other := rrquarantine.New(duration)
-	other.AddPeerLoss(300*ms, 1, "a")
+	other.AddPeerLoss(300*ms, 1, "", "a")
 	state, _ := other.State(300*ms, 1)
 	must.Eq(t, rrquarantine.StateSuspect, state)
 	must.Len(t, 0, other.Tick(600*ms))
-	other.TakeUnanswered(900*ms, func(rrunit.Fingerprint, rrunit.SearcherID) { t.Error("told of a loss that another daemon told of") })
+	other.TakeUnanswered(900*ms, func(rrunit.Fingerprint, rrunit.ServiceName, rrunit.SearcherID) {
+		t.Error("told of a loss that another daemon told of")
+	})
 }
 
 // Losses of other daemons count where this daemon's own loss is inconclusive, so that a
@@ -113,7 +115,7 @@
 		t.Run(name, func(t *testing.T) {
 			tr := rrquarantine.New(duration)
 			for _, id := range c.told {
-				tr.AddPeerLoss(0, 1, id)
+				tr.AddPeerLoss(0, 1, "", id)
 			}
 			tr.RecordLoss(100*ms, rrquarantine.Loss{Fingerprint: 2, Searcher: "other", Isolation: rrquarantine.IsolationUnsuspected})
 			tr.RecordLoss(110*ms, rrquarantine.Loss{Fingerprint: 1, Searcher: "c", Isolation: rrquarantine.IsolationAlone})
@@ -123,3 +125,64 @@
 		})
 	}
 }
+
+// The trials of a request that was lost at several services wait for each other until a
+// searcher has answered one. Each service that has lost it must answer to clear it.
+func TestTrialsWaitForEachOther(t *testing.T) {
+	const f rrunit.Fingerprint = 1
+	newTracker := func() *rrquarantine.Tracker {
+		tr := rrquarantine.New(duration)
+		for _, service := range []rrunit.ServiceName{"x", "y"} {
+			tr.RecordLoss(0, rrquarantine.Loss{Fingerprint: f, Service: service, Searcher: rrunit.SearcherID(service), Isolation: rrquarantine.IsolationUnsuspected})
+		}
+		tr.BeginTrial(50*ms, f)
+		return tr
+	}
+	check := func(t *testing.T, tr *rrquarantine.Tracker, now rrunit.Instant, want rrquarantine.State) {
+		t.Helper()
+		state, _ := tr.State(now, f)
+		must.Eq(t, want, state)
+	}
+
+	t.Run("answered", func(t *testing.T) {
+		tr := newTracker()
+		check(t, tr, 60*ms, rrquarantine.StateHeld)
+		tr.RecordAnswer(f, "x")
+		check(t, tr, 60*ms, rrquarantine.StateSuspect)
+		tr.RecordAnswer(f, "y")
+		check(t, tr, 60*ms, rrquarantine.StateClear)
+	})
+	t.Run("lost", func(t *testing.T) {
+		tr := newTracker()
+		tr.RecordLoss(60*ms, rrquarantine.Loss{Fingerprint: f, Service: "x", Searcher: "x2", Isolation: rrquarantine.IsolationAlone})
+		tr.EndTrial(f)
+		check(t, tr, 150*ms, rrquarantine.StateHeld)
+		must.Len(t, 1, tr.Tick(160*ms))
+		check(t, tr, 160*ms, rrquarantine.StateQuarantined)
+	})
+	t.Run("silent", func(t *testing.T) {
+		tr := newTracker()
+		check(t, tr, 299*ms, rrquarantine.StateHeld)
+		check(t, tr, 300*ms, rrquarantine.StateSuspect)
+	})
+	t.Run("ended without a finding", func(t *testing.T) {
+		tr := newTracker()
+		tr.EndTrial(f)
+		check(t, tr, 60*ms, rrquarantine.StateSuspect)
+	})
+}
+
+// The searchers that a quarantined request has crashed are no common cause of the losses of
+// another one.
+func TestExplainedCrashesHideNoOther(t *testing.T) {
+	tr := rrquarantine.New(duration)
+	lose := func(now rrunit.Instant, f rrunit.Fingerprint, id rrunit.SearcherID, isolation rrquarantine.Isolation) {
+		tr.RecordLoss(now, rrquarantine.Loss{Fingerprint: f, Searcher: id, Isolation: isolation})
+	}
+	lose(0, 1, "a", rrquarantine.IsolationUnsuspected)
+	lose(30*ms, 1, "b", rrquarantine.IsolationAlone)
+	must.Len(t, 1, tr.Tick(130*ms))
+	lose(140*ms, 2, "c", rrquarantine.IsolationUnsuspected)
+	lose(170*ms, 2, "d", rrquarantine.IsolationAlone)
+	must.Len(t, 1, tr.Tick(270*ms))
+}
