Tell all daemons of hundreds of crashing requests

Crashing requests went on ending searchers for as long as they came: of a hundred at once 21 to 33 reached searchers in more than three late requests.

Cause: daemons told each other of 16 crashes and 32 quarantines, the first by key, and a request over three shards has three crashes at once. Beyond that each daemon found each request out by itself, and did not learn of verdicts.

Fix: 512 of each, in fields that the first daemons ignore; these are told as many as they keep, as they would be told of the others again and again.

--- a/internal/app/rrfollow/notices.go
+++ b/internal/app/rrfollow/notices.go
@@ -8,7 +8,7 @@
 )
 
 // notices are what the daemons find out themselves and pass on to each other for some time.
-type notices[K any] struct {
+type notices[K comparable] struct {
 	compare func(a, b K) int
 	// limit is how many are kept. All daemons keep the first ones by key, so that they
 	// don't send each other the rest again and again.
@@ -23,7 +23,7 @@
 const minNoticeLeft = rrunit.Duration(time.Second)
 
 // notice is one of notices, passed on until its end.
-type notice[K any] struct {
+type notice[K comparable] struct {
 	key   K
 	until rrunit.Instant
 }
@@ -40,11 +40,19 @@
 	return true
 }
 
-// active calls f with the notices to pass on, without those that the receiver knows.
-func (n *notices[K]) active(now rrunit.Instant, isKnown func(K) bool, f func(key K, left rrunit.Duration)) {
-	for _, e := range n.entries {
-		if left := rrunit.Duration(e.until.Sub(now)); left >= minNoticeLeft && !isKnown(e.key) {
-			f(e.key, left)
+// active returns the notices to pass on to a receiver that keeps as many as limit, without
+// those that it knows.
+func (n *notices[K]) active(now rrunit.Instant, limit int, isKnown map[K]bool) []notice[K] {
+	var out []notice[K]
+	for _, e := range n.entries[:min(limit, len(n.entries))] {
+		if e.until.Sub(now) >= minNoticeLeft.Std() && !isKnown[e.key] {
+			out = append(out, e)
 		}
 	}
+	return out
+}
+
+// left returns how much longer the notice is passed on.
+func (e *notice[K]) left(now rrunit.Instant) rrunit.Duration {
+	return rrunit.Duration(e.until.Sub(now))
 }
--- a/internal/app/rrfollow/notices_test.go
+++ b/internal/app/rrfollow/notices_test.go
@@ -23,10 +23,10 @@
 	for now := rrunit.Instant(0); now < limit; now += latency {
 		for i := range nodes {
 			to := &nodes[1-i]
-			nodes[i].active(now, func(int) bool { return false }, func(key int, left rrunit.Duration) {
-				to.add(now+latency, key, left)
+			for _, e := range nodes[i].active(now, 2, nil) {
+				to.add(now+latency, e.key, e.left(now))
 				last = now
-			})
+			}
 		}
 	}
 	must.Less(t, rrunit.Instant(11*time.Second), last)
@@ -41,7 +41,9 @@
 			n.add(0, key, rrunit.Duration(time.Minute))
 		}
 		var kept []int
-		n.active(0, func(int) bool { return false }, func(key int, _ rrunit.Duration) { kept = append(kept, key) })
+		for _, e := range n.active(0, 3, nil) {
+			kept = append(kept, e.key)
+		}
 		must.Eq(t, []int{1, 2}, kept)
 	}
 }
--- a/internal/app/rrfollow/peers.go
+++ b/internal/app/rrfollow/peers.go
@@ -57,7 +57,7 @@
 	}
 	response, err := f.cfg.Feeds.Follow(callCtx, source.Address, request)
 	if err == nil {
-		f.addPeerFindings(response.Quarantines, response.Crashes)
+		f.addPeerFindings(rrpeer.Findings{Quarantines: response.Quarantines, Crashes: response.Crashes})
 	}
 	f.cfg.Metrics.Count(rrmetrics.GroupPeerCalls, outcomeLabel(err))
 	now := f.clock()
@@ -89,12 +89,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	request := &rrpeer.FeedRequest{
-		Tables:      f.tables.Revision(),
-		Searchers:   f.searchers.Revision(),
-		Instances:   f.instances.Revision(),
-		Quarantines: f.activeQuarantines(nil),
-		Crashes:     f.recentCrashes(nil),
+		Tables:    f.tables.Revision(),
+		Searchers: f.searchers.Revision(),
+		Instances: f.instances.Revision(),
 	}
+	all := rrpeer.Limits{Quarantines: rrpeer.MaxQuarantines, Crashes: rrpeer.MaxCrashes}
+	request.SetFindings(f.findings(all, &rrpeer.Findings{}))
 	if f.appliedTable != nil {
 		request.Table = f.appliedTable.Number
 	}
@@ -103,7 +103,7 @@
 
 // Follow serves the request of another daemon.
 func (f *Follower) Follow(ctx context.Context, request *rrpeer.FeedRequest) (*rrpeer.FeedResponse, error) {
-	f.addPeerFindings(request.Quarantines, request.Crashes)
+	f.addPeerFindings(request.Findings())
 	timer := time.NewTimer(request.Wait.Std())
 	defer timer.Stop()
 	for delayed := false; ; {
@@ -136,8 +136,9 @@
 	defer f.mu.Unlock()
 	age, known := f.core.DataAge(f.clock())
 	response := &rrpeer.FeedResponse{Confirmed: known, Age: rrpeer.NewAge(age), Era: f.era, Changes: f.withNewerTable(f.changesSince(request), request)}
-	response.Quarantines = f.activeQuarantines(request.Quarantines)
-	response.Crashes = f.recentCrashes(request.Crashes)
+	has := request.Findings()
+	findings := f.findings(request.Limits(), &has)
+	response.Quarantines, response.Crashes = findings.Quarantines, findings.Crashes
 	return response, f.changed, response.Changes != nil && response.Changes.HasEntries() || len(response.Quarantines) > 0
 }
 
--- a/internal/app/rrfollow/quarantine.go
+++ b/internal/app/rrfollow/quarantine.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -28,7 +27,7 @@
 )
 
 func newQuarantineNotices() notices[rrunit.Fingerprint] {
-	return notices[rrunit.Fingerprint]{compare: cmp.Compare[rrunit.Fingerprint], limit: rrpeer.MaxDigestQuarantines}
+	return notices[rrunit.Fingerprint]{compare: cmp.Compare[rrunit.Fingerprint], limit: rrpeer.MaxQuarantines}
 }
 
 func newCrashNotices() notices[rrpeer.CrashedRun] {
@@ -68,42 +67,38 @@
 
 // addPeerFindings adds what another daemon found out of crashing requests, and applies what
 // is new to this daemon's own dispatchers.
-func (f *Follower) addPeerFindings(quarantines []rrpeer.Quarantine, crashes []rrpeer.Crash) {
-	for _, q := range quarantines {
+func (f *Follower) addPeerFindings(findings rrpeer.Findings) {
+	for _, q := range findings.Quarantines {
 		if f.addQuarantine(q) {
 			f.cfg.Quarantine(q)
 		}
 	}
-	for _, c := range crashes {
+	for _, c := range findings.Crashes {
 		if f.addCrash(c) {
 			f.cfg.AddPeerCrash(c.CrashedRun)
 		}
 	}
 }
 
-// activeQuarantines returns the active quarantines, without those that the requester has.
-// The caller holds mu.
-func (f *Follower) activeQuarantines(known []rrpeer.Quarantine) []rrpeer.Quarantine {
-	var out []rrpeer.Quarantine
-	isKnown := func(k rrunit.Fingerprint) bool {
-		return slices.ContainsFunc(known, func(q rrpeer.Quarantine) bool { return q.Fingerprint == k })
+// findings returns what to tell a daemon that keeps as much as the limits, without what it
+// knows. The caller holds mu.
+func (f *Follower) findings(limits rrpeer.Limits, known *rrpeer.Findings) rrpeer.Findings {
+	knownQuarantines := make(map[rrunit.Fingerprint]bool)
+	for _, q := range known.Quarantines {
+		knownQuarantines[q.Fingerprint] = true
 	}
-	f.quarantines.active(f.clock(), isKnown, func(k rrunit.Fingerprint, left rrunit.Duration) {
-		out = append(out, rrpeer.Quarantine{Fingerprint: k, TimeLeft: left})
-	})
-	return out
-}
-
-// recentCrashes returns the crashes to pass on, without those that the requester has. The
-// caller holds mu.
-func (f *Follower) recentCrashes(known []rrpeer.Crash) []rrpeer.Crash {
-	var out []rrpeer.Crash
-	isKnown := func(k rrpeer.CrashedRun) bool {
-		return slices.ContainsFunc(known, func(c rrpeer.Crash) bool { return c.CrashedRun == k })
+	knownCrashes := make(map[rrpeer.CrashedRun]bool)
+	for _, c := range known.Crashes {
+		knownCrashes[c.CrashedRun] = true
+	}
+	now := f.clock()
+	var out rrpeer.Findings
+	for _, e := range f.quarantines.active(now, limits.Quarantines, knownQuarantines) {
+		out.Quarantines = append(out.Quarantines, rrpeer.Quarantine{Fingerprint: e.key, TimeLeft: e.left(now)})
+	}
+	for _, e := range f.crashes.active(now, limits.Crashes, knownCrashes) {
+		out.Crashes = append(out.Crashes, rrpeer.Crash{CrashedRun: e.key, TimeLeft: e.left(now)})
 	}
-	f.crashes.active(f.clock(), isKnown, func(k rrpeer.CrashedRun, left rrunit.Duration) {
-		out = append(out, rrpeer.Crash{CrashedRun: k, TimeLeft: left})
-	})
 	return out
 }
 
@@ -139,7 +134,7 @@
 			continue
 		}
 		request, _ := f.feedRequest()
-		if len(request.Quarantines) == 0 && len(request.Crashes) == 0 && !f.isSettling() {
+		if findings := request.Findings(); findings.IsEmpty() && !f.isSettling() {
 			continue
 		}
 		var calls sync.WaitGroup
@@ -159,7 +154,7 @@
 		f.cfg.Log.Failure("crashes not told", "peer", reader, "err", err)
 		return
 	}
-	f.addPeerFindings(response.Quarantines, response.Crashes)
+	f.addPeerFindings(rrpeer.Findings{Quarantines: response.Quarantines, Crashes: response.Crashes})
 	if response.Changes != nil {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/internal/domain/rrpeer/crash.go
+++ b/internal/domain/rrpeer/crash.go
@@ -7,9 +7,6 @@
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 )
 
-// MaxCrashes is the largest number of crashes in one message.
-const MaxCrashes = 16
-
 // maxCrashTimeLeft is the longest time that a daemon may ask for a crash to be passed on.
 const maxCrashTimeLeft = rrunit.Duration(time.Minute)
 
@@ -46,16 +43,3 @@
 		return nil
 	}
 }
-
-// checkCrashes returns an error that names the first invalid field of the crashes.
-func checkCrashes(crashes []Crash) error {
-	if len(crashes) > MaxCrashes {
-		return rrunit.Invalid("crashes", "%d are more than %d", len(crashes), MaxCrashes)
-	}
-	for i := range crashes {
-		if err := crashes[i].Check(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/domain/rrpeer/feed.go
+++ b/internal/domain/rrpeer/feed.go
@@ -21,10 +21,15 @@
 	// Table is the number of the table that the requester uses; zero means none, or a
 	// requester that does not say.
 	Table rrunit.DefinitionNumber `json:"table,omitempty"`
-	// Quarantines are the active quarantines that the requester knows.
-	Quarantines []Quarantine `json:"quarantines,omitempty"`
-	// Crashes are the recent crashes that the requester knows.
-	Crashes []Crash `json:"crashes,omitempty"`
+	// Quarantines are the active quarantines that the requester knows, and Crashes the recent
+	// crashes. Those beyond what the first daemons take are in MoreQuarantines and
+	// MoreCrashes; SetFindings sets all of them.
+	Quarantines     []Quarantine `json:"quarantines,omitempty"`
+	MoreQuarantines []Quarantine `json:"morequarantines,omitempty"`
+	Crashes         []Crash      `json:"crashes,omitempty"`
+	MoreCrashes     []Crash      `json:"morecrashes,omitempty"`
+	// KeepsMore is set if the requester keeps more findings than the first daemons.
+	KeepsMore bool `json:"keepsmore,omitempty"`
 	// Wait is how long to wait for changes.
 	Wait rrunit.Duration `json:"wait"`
 	// Delay is how long to delay changes that the requester may receive from others.
@@ -36,10 +41,8 @@
 	if a.Wait < 0 || a.Wait > maxFeedWait {
 		return rrunit.Invalid("wait", "%s is not between 0s and %s", a.Wait, maxFeedWait)
 	}
-	if len(a.Quarantines) > MaxDigestQuarantines {
-		return rrunit.Invalid("quarantines", "%d are more than %d", len(a.Quarantines), MaxDigestQuarantines)
-	}
-	if err := checkCrashes(a.Crashes); err != nil {
+	findings := a.Findings()
+	if err := findings.check(); err != nil {
 		return err
 	}
 	if a.Delay < 0 || a.Delay > a.Wait {
@@ -68,7 +71,7 @@
 
 // Check builds the tables and returns an error that names the first invalid field.
 func (n *FeedResponse) Check() error {
-	if err := checkCrashes(n.Crashes); err != nil {
+	if err := (&Findings{Quarantines: n.Quarantines, Crashes: n.Crashes}).check(); err != nil {
 		return err
 	}
 	if n.Changes == nil {
--- a/internal/policy/rrquarantine/rrquarantine.go
+++ b/internal/policy/rrquarantine/rrquarantine.go
@@ -74,7 +74,7 @@
 	// trial may be slow or silent.
 	maxTrialWait = 250 * time.Millisecond
 	// maxUntold limits memory; the oldest loss is dropped first.
-	maxUntold = 64
+	maxUntold = 1024
 	// maxSuspects limits memory; the oldest suspect is dropped first.
 	maxSuspects = 4096
 )
