--- a/internal/app/rrdispatchers/quarantine.go
+++ b/internal/app/rrdispatchers/quarantine.go
@@ -26,6 +26,7 @@
 func (p *Dispatchers) applyQuarantine(q rrpeer.Quarantine) bool {
 	now := p.clock()
 	until := now.Add(q.TimeLeft.Std())
+	p.suspects.Add(now, q.Fingerprint, until)
 	p.mu.Lock()
 	for fingerprint, until := range p.quarantined {
 		if until <= now {
