Record quarantines in the store for daemons that start later

After a restart of all daemons each crashing request ended searchers again at each of them, as quarantines were held by the daemons alone.

Fix: the daemon that decides on a quarantine records it in an object of its own kind, until its end: one write and one removal a verdict, in the background, again after failures and after a restore of the store. A daemon that starts lists the kind once, from the store's cache, applies what is active and takes over the removal of its own. Ruled out: a watch of the kind by the readers, as the daemons tell each other sooner and each call is priced.

--- a/internal/app/rrfollow/quarantine.go
+++ b/internal/app/rrfollow/quarantine.go
@@ -38,6 +38,9 @@
 // at once: the request's caller returns at any of them.
 func (f *Follower) AnnounceQuarantine(q rrpeer.Quarantine) {
 	f.addQuarantine(q)
+	f.mu.Lock()
+	f.addVerdict(q)
+	f.mu.Unlock()
 	select {
 	case f.ownVerdict <- struct{}{}:
 	default:
--- a/internal/app/rrfollow/rrfollow.go
+++ b/internal/app/rrfollow/rrfollow.go
@@ -88,6 +88,9 @@
 	// quarantines and crashes are those that this daemon passes on.
 	quarantines notices[rrunit.Fingerprint]
 	crashes     notices[rrpeer.CrashedRun]
+	// verdicts are this daemon's own quarantines that are, or are to be, recorded in the
+	// store; those of before its last start too.
+	verdicts map[rrunit.Fingerprint]verdict
 	// era is the store's latest era that this daemon knows of; zero before the first.
 	era rrcatalog.Era
 	// registeredEra is the latest era in which this daemon registered, or was listed.
@@ -118,6 +121,7 @@
 		quarantines:  newQuarantineNotices(),
 		crashes:      newCrashNotices(),
 		ownVerdict:   make(chan struct{}, 1),
+		verdicts:     make(map[rrunit.Fingerprint]verdict),
 
 		restored:      make(chan struct{}),
 		settlingSince: clock(),
@@ -141,6 +145,8 @@
 	group.Go(func() { f.sendEvidence(ctx) })
 	group.Go(func() { f.tellReaders(ctx) })
 	group.Go(func() { f.keepRegistered(ctx) })
+	group.Go(func() { f.readRecord(ctx) })
+	group.Go(func() { f.recordVerdicts(ctx) })
 	if f.cfg.ColdStart {
 		group.Go(func() { f.register(ctx) })
 		group.Go(func() { f.listInstances(ctx) })
--- a/internal/app/rrfollow/store.go
+++ b/internal/app/rrfollow/store.go
@@ -53,6 +53,8 @@
 	kindSearchers storeKind = "searchers"
 	kindInstances storeKind = "instances"
 	kindRegister  storeKind = "register"
+	// kindQuarantines is read at a start alone.
+	kindQuarantines storeKind = "quarantines"
 )
 
 // register adds this daemon to the instances in the store, with retries.
--- a/internal/port/rrobject/rrobject.go
+++ b/internal/port/rrobject/rrobject.go
@@ -1,5 +1,5 @@
 // Package rrobject is the port to the platform's object store, which holds the
-// routing table, the searchers and the daemons. It holds no implementation.
+// routing table, the searchers, the daemons and the quarantines. It holds no implementation.
 package rrobject
 
 import (
@@ -46,7 +46,12 @@
 	Tables() Collection[rrcatalog.TableName, rrroute.Table]
 	Searchers() Collection[rrunit.SearcherID, rrcatalog.Searcher]
 	Instances() Collection[rrunit.InstanceID, rrcatalog.Instance]
+	Quarantines() Collection[rrcatalog.QuarantineName, rrcatalog.Quarantine]
 	// Register adds the daemon to the instances and returns the store's era. It may have
 	// taken effect even if it returns an error; it is idempotent.
 	Register(ctx context.Context, i rrcatalog.Instance) (rrcatalog.Era, error)
+	// PutQuarantine records a quarantine, and DeleteQuarantine removes it if it is there.
+	// Both return the store's era, and may have taken effect even if they return an error.
+	PutQuarantine(ctx context.Context, name rrcatalog.QuarantineName, q rrcatalog.Quarantine) (rrcatalog.Era, error)
+	DeleteQuarantine(ctx context.Context, name rrcatalog.QuarantineName) error
 }
