Let no failed answer clear a request that crashes searchers

A searcher that fails requests before it runs them, as some do with a good health check, cleared a crashing request, which then ended two more searchers.

Cause: any answer ended the suspicion, a failure or bytes that are no usable answer too. Now only an answer that is a success of the searcher does; a request that searchers always fail stays suspect until that expires, and runs at one searcher at a time.

TestClearedSuspectNeedsRoomForItsOwnRank took the failed answer for what clears the request; an answer elsewhere clears it now, as its comment says.

--- a/internal/policy/rrdispatch/outcome.go
+++ b/internal/policy/rrdispatch/outcome.go
@@ -26,7 +26,8 @@
 			w.estimator.RecordFailure(now)
 			s.recordFailure(now, w)
 		}
-		s.suspects.RecordAnswer(a.fingerprint, s.cfg.Service)
+		// It does not clear the request, which the searcher may have failed before it began
+		// to run it.
 	case rrupstream.OutcomeShed, rrupstream.OutcomeDraining, rrupstream.OutcomeMisdirected, rrupstream.OutcomeWrongSnapshot:
 		s.recordRefusal(now, a, outcome)
 	case rrupstream.OutcomeUnsent, rrupstream.OutcomeConnectionLost, rrupstream.OutcomeUnresponsive, rrupstream.OutcomeCancelled:
--- a/internal/policy/rrdispatch/suspect_services_test.go
+++ b/internal/policy/rrdispatch/suspect_services_test.go
@@ -43,11 +43,18 @@
 		s := rrdispatch.New(cfg)
 		s.SetIdleConnections(func(rrunit.SearcherID) int { return 4 })
 		out.shards = append(out.shards, s)
-		out.record(i, s.Offer(out.now, rrdispatch.Job{ID: 1, Fingerprint: crashing, Idempotent: true, MaxAttempts: 3, Deadline: out.now.Add(2 * time.Second)}))
 	}
+	out.offer(1)
 	return out
 }
 
+// offer offers the request to all services.
+func (s *suspectServices) offer(id rrdispatch.JobID) {
+	for i, shard := range s.shards {
+		s.record(i, shard.Offer(s.now, rrdispatch.Job{ID: id, Fingerprint: crashing, Idempotent: true, MaxAttempts: 3, Deadline: s.now.Add(2 * time.Second)}))
+	}
+}
+
 func (s *suspectServices) record(i int, actions []rrdispatch.Action) {
 	for _, a := range actions {
 		switch a.Kind {
@@ -118,3 +125,15 @@
 	must.Zero(t, s.quarantines)
 	must.Eq(t, make([]rrquery.Reason, services), s.reasons)
 }
+
+// A searcher that fails its requests without running them clears a request that crashes
+// those that do run it.
+func TestFailedAnswerClearsACrashingRequest(t *testing.T) {
+	s := newSuspectServices(1)
+	s.end(rrupstream.OutcomeConnectionLost)
+	s.pass(40*time.Millisecond, rrupstream.OutcomeFailed)
+	s.offer(2)
+	s.pass(time.Second, rrupstream.OutcomeConnectionLost)
+	must.Eq(t, 2, s.crashes)
+	must.Eq(t, 1, s.quarantines)
+}
--- a/internal/policy/rrdispatch/suspect_test.go
+++ b/internal/policy/rrdispatch/suspect_test.go
@@ -17,6 +17,9 @@
 // started without a searcher where only less urgent ranks had room.
 func TestClearedSuspectNeedsRoomForItsOwnRank(t *testing.T) {
 	s := newLimitedShard(4, "a", "b")
+	s.cfg.Suspects = rrquarantine.New(s.cfg.QuarantineDuration)
+	s.Shard = rrdispatch.New(s.cfg)
+	s.SetIdleConnections(func(rrunit.SearcherID) int { return 8 })
 	for range 100 {
 		s.cfg.ServiceTimes.Record(s.now, 0, 2*time.Millisecond)
 		s.cfg.ServiceTimes.Record(s.now, 1, 200*time.Millisecond)
@@ -39,9 +42,10 @@
 	s.now = s.now.Add(60 * time.Millisecond)
 	s.record(s.RecordCrash(s.now, repeated, lost.Searcher, rrquarantine.IsolationUnsuspected))
 	s.record(s.Finish(s.now, lost.Attempt, rrupstream.OutcomeConnectionLost))
-	// The end of the other attempt clears the request, and the busy searcher has no room for
-	// its rank.
+	// An answer clears the request after the end of the other attempt, and the busy searcher
+	// has no room for its rank.
 	must.SliceEmpty(t, s.Finish(s.now, atBusy.Attempt, rrupstream.OutcomeFailed))
+	s.cfg.Suspects.RecordAnswer(repeated, s.cfg.Service)
 	for range 100 {
 		s.now = s.now.Add(time.Millisecond)
 		s.record(s.Tick(s.now))
