Refuse requests longer that crash searchers again

Each minute a quarantine ended at all daemons, and the request, if it came again, was judged as if for the first time: up to three searchers, or requests, until the next verdict.

Fix: after a quarantine one loss is proof, and the next quarantine is twice as long, up to 32 times. Losses extend the suspicion, which ended a minute after the first one. A quarantine that follows closely on another reaches daemons at which that has not ended yet, where it was taken for known.

Tests that failed before (without the change there is neither a verdict nor a longer time): TestSecondQuarantineIsLonger, TestSuspicionLastsFromTheLastLoss, TestNoticesAreRenewed.

--- a/internal/app/rrdispatchers/quarantine.go
+++ b/internal/app/rrdispatchers/quarantine.go
@@ -22,7 +22,7 @@
 }
 
 // applyQuarantine refuses the request at all services and reports whether it was not
-// quarantined before.
+// quarantined for as long before.
 func (p *Dispatchers) applyQuarantine(q rrpeer.Quarantine) bool {
 	now := p.clock()
 	until := now.Add(q.TimeLeft.Std())
@@ -33,7 +33,7 @@
 			delete(p.quarantined, fingerprint)
 		}
 	}
-	_, known := p.quarantined[q.Fingerprint]
+	known := until <= p.quarantined[q.Fingerprint]
 	p.quarantined[q.Fingerprint] = max(until, p.quarantined[q.Fingerprint])
 	dispatchers := make([]*dispatcher, 0, len(p.dispatchers))
 	for _, d := range p.dispatchers {
--- a/internal/app/rrfollow/notices.go
+++ b/internal/app/rrfollow/notices.go
@@ -28,14 +28,21 @@
 	until rrunit.Instant
 }
 
-// add adds a notice and reports whether it is new.
+// add adds a notice and reports whether it is new, or known with an end that is much sooner.
 func (n *notices[K]) add(now rrunit.Instant, key K, left rrunit.Duration) bool {
 	n.entries = slices.DeleteFunc(n.entries, func(e notice[K]) bool { return e.until <= now })
 	i, known := slices.BinarySearchFunc(n.entries, key, func(e notice[K], key K) int { return n.compare(e.key, key) })
-	if known || i >= n.limit || left < minNoticeLeft {
+	until := now.Add(left.Std())
+	switch {
+	case i >= n.limit || left < minNoticeLeft:
 		return false
+	case known && until < n.entries[i].until.Add(minNoticeLeft.Std()):
+		return false
+	case known:
+		n.entries[i].until = until
+		return true
 	}
-	n.entries = slices.Insert(n.entries, i, notice[K]{key: key, until: now.Add(left.Std())})
+	n.entries = slices.Insert(n.entries, i, notice[K]{key: key, until: until})
 	n.entries = n.entries[:min(len(n.entries), n.limit)]
 	return true
 }
--- a/internal/app/rrfollow/notices_test.go
+++ b/internal/app/rrfollow/notices_test.go
@@ -47,3 +47,15 @@
 		must.Eq(t, []int{1, 2}, kept)
 	}
 }
+
+// A request that is quarantined again just as its quarantine ends is told to daemons at which
+// the first has not ended yet.
+func TestNoticesAreRenewed(t *testing.T) {
+	n := notices[int]{compare: cmp.Compare[int], limit: 2}
+	must.True(t, n.add(0, 1, rrunit.Duration(time.Minute)))
+	now := rrunit.Instant(59 * time.Second)
+	must.False(t, n.add(now, 1, rrunit.Duration(1500*time.Millisecond)))
+	must.True(t, n.add(now, 1, rrunit.Duration(2*time.Minute)))
+	must.False(t, n.add(now, 1, rrunit.Duration(2*time.Minute)))
+	must.Eq(t, rrunit.Duration(2*time.Minute), n.active(now, 2, nil)[0].left(now))
+}
--- a/internal/policy/rrquarantine/loss.go
+++ b/internal/policy/rrquarantine/loss.go
@@ -18,6 +18,14 @@
 	s.isProven = false
 	s.heldUntil = now.Add(holdTime)
 	t.cancelPending(now, l.Searcher)
+	if now < t.quarantined[l.Fingerprint] {
+		// It was sent before its quarantine.
+		return Quarantine{}, false
+	}
+	if s.quarantines > 0 {
+		return t.quarantine(now, l.Fingerprint), true
+	}
+	t.extend(s, l.Fingerprint, now.Add(t.duration))
 	switch {
 	case l.Isolation == IsolationUnsuspected:
 		return Quarantine{}, false
@@ -60,13 +68,15 @@
 	return out
 }
 
-// quarantine quarantines the request for the set duration. The searchers that it has
-// crashed show no common cause for the losses of others any more.
+// quarantine quarantines the request for the set duration, doubled for each time before. The
+// searchers that it has crashed show no common cause for the losses of others any more.
 func (t *Tracker) quarantine(now rrunit.Instant, f rrunit.Fingerprint) Quarantine {
+	duration := t.duration
 	if s := t.suspects[f]; s != nil {
+		duration <<= min(s.quarantines, maxDoublings)
 		t.incidents = slices.DeleteFunc(t.incidents, func(i incident) bool { return slices.Contains(s.searchers, i.searcher) })
 	}
-	q := Quarantine{Fingerprint: f, Until: now.Add(t.duration)}
+	q := Quarantine{Fingerprint: f, Until: now.Add(duration)}
 	t.add(now, f, q.Until)
 	return q
 }
@@ -131,13 +141,22 @@
 }
 
 func (t *Tracker) addSuspect(now rrunit.Instant, f rrunit.Fingerprint, expiresAt rrunit.Instant) *suspect {
-	s := &suspect{expiresAt: expiresAt}
+	s := &suspect{}
 	t.suspects[f] = s
-	t.expiryQueue = append(t.expiryQueue, timedFingerprint{fingerprint: f, at: expiresAt})
+	t.extend(s, f, expiresAt)
 	t.expire(now)
 	return s
 }
 
+// extend sets when the suspect expires, unless it expires later.
+func (t *Tracker) extend(s *suspect, f rrunit.Fingerprint, expiresAt rrunit.Instant) {
+	if expiresAt <= s.expiresAt {
+		return
+	}
+	s.expiresAt = expiresAt
+	t.expiryQueue = append(t.expiryQueue, timedFingerprint{fingerprint: f, at: expiresAt})
+}
+
 // expire drops expired suspects, and the oldest ones above maxSuspects.
 func (t *Tracker) expire(now rrunit.Instant) {
 	for len(t.expiryQueue) > 0 && (t.expiryQueue[0].at <= now || len(t.expiryQueue) > maxSuspects) {
--- a/internal/policy/rrquarantine/rrquarantine.go
+++ b/internal/policy/rrquarantine/rrquarantine.go
@@ -75,6 +75,8 @@
 	maxTrialWait = 250 * time.Millisecond
 	// maxUntold limits memory; the oldest loss is dropped first.
 	maxUntold = 1024
+	// maxDoublings is how often the time of a quarantine is doubled at most.
+	maxDoublings = 5
 	// maxSuspects limits memory; the oldest suspect is dropped first.
 	maxSuspects = 4096
 )
@@ -116,6 +118,9 @@
 	decideAt rrunit.Instant
 	// expiresAt is when the request is no longer suspect without an answer.
 	expiresAt rrunit.Instant
+	// quarantines is how often the request was quarantined. Each loss after the first
+	// quarantine is proof.
+	quarantines int
 }
 
 // incident is the loss of one searcher.
@@ -185,8 +190,8 @@
 	t.duration = duration.Std()
 }
 
-// Add quarantines a request. It stays suspect for the set duration afterwards, so
-// that it crashes at most one more searcher.
+// Add quarantines a request. It stays suspect for as long afterwards, so that it crashes at
+// most one more searcher.
 func (t *Tracker) Add(now rrunit.Instant, f rrunit.Fingerprint, until rrunit.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -195,10 +200,19 @@
 
 // add implements Add. The caller holds mu.
 func (t *Tracker) add(now rrunit.Instant, f rrunit.Fingerprint, until rrunit.Instant) {
-	if known := t.quarantined[f]; now < known && until <= known {
+	isActive := now < t.quarantined[f]
+	if isActive && until <= t.quarantined[f] {
 		return
 	}
-	t.addSuspect(now, f, until.Add(t.duration))
+	quarantines := 1
+	if s := t.suspects[f]; s != nil {
+		quarantines = s.quarantines
+		if !isActive {
+			quarantines++
+		}
+	}
+	s := t.addSuspect(now, f, until.Add(max(t.duration, until.Sub(now))))
+	s.quarantines = quarantines
 	// Each key is handled independently, so the order of the map does not matter.
 	for other, end := range t.quarantined {
 		if end <= now {
--- a/internal/policy/rrquarantine/rrquarantine_test.go
+++ b/internal/policy/rrquarantine/rrquarantine_test.go
@@ -186,3 +186,37 @@
 	lose(170*ms, 2, "d", rrquarantine.IsolationAlone)
 	must.Len(t, 1, tr.Tick(270*ms))
 }
+
+// A request that crashes a searcher after its quarantine is quarantined again at once, for
+// twice as long, whatever other searchers are lost.
+func TestSecondQuarantineIsLonger(t *testing.T) {
+	tr := rrquarantine.New(duration)
+	now := rrunit.Instant(0)
+	tr.Add(now, 1, now.Add(duration.Std()))
+	tr.Add(now+ms, 1, now.Add(duration.Std())+ms)
+	for _, minutes := range []time.Duration{2, 4, 8, 16, 32, 32} {
+		_, quarantined := tr.Quarantined(now, 1)
+		must.True(t, quarantined)
+		_, again := tr.RecordLoss(now, rrquarantine.Loss{Fingerprint: 1, Searcher: "sent before", Isolation: rrquarantine.IsolationUnsuspected})
+		must.False(t, again)
+		for quarantined {
+			now += 1000 * ms
+			_, quarantined = tr.Quarantined(now, 1)
+		}
+		tr.RecordLoss(now-ms, rrquarantine.Loss{Fingerprint: 2, Searcher: "b", Isolation: rrquarantine.IsolationUnsuspected})
+		q, ok := tr.RecordLoss(now, rrquarantine.Loss{Fingerprint: 1, Searcher: "a", Isolation: rrquarantine.IsolationShared})
+		must.True(t, ok)
+		must.Eq(t, minutes*time.Minute, q.Until.Sub(now))
+	}
+}
+
+// A request that is lost now and then stays suspect from one loss to the next.
+func TestSuspicionLastsFromTheLastLoss(t *testing.T) {
+	tr := rrquarantine.New(duration)
+	const gap = 40 * 1000 * ms
+	for i := range rrunit.Instant(4) {
+		tr.RecordLoss(i*gap, rrquarantine.Loss{Fingerprint: 1, Searcher: rrunit.SearcherID(rune('a' + i)), Isolation: rrquarantine.IsolationUnsuspected})
+		state, _ := tr.State((i+1)*gap, 1)
+		must.Eq(t, rrquarantine.StateSuspect, state)
+	}
+}
