Play crashing requests beside restarts and other crashes, and for long

TestRestartsAndOtherCrashesHideCrashingRequests: ten requests, a daemon restarted every 3 s, three searchers a second that end for other causes.

--- a/internal/test/rrplatform/crash_scale_test.go
+++ b/internal/test/rrplatform/crash_scale_test.go
@@ -1,6 +1,8 @@
 package rrplatform_test
 
 import (
+	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -13,6 +15,10 @@
 	"github.com/shoenig/test/must"
 )
 
+// crashStay is how long crashing requests come again and again. Several minutes show the ends
+// of quarantines.
+var crashStay = flag.Duration("crashstay", 22*time.Second, "how long crashing requests come again")
+
 // Bounds of the users on a request that crashes searchers: it reaches searchers in at most
 // maxLateRequests requests that come later than crashSettleTime after its third crash.
 const (
@@ -59,15 +65,15 @@
 	return f, log
 }
 
-// repeatCrashing sends the crashing request of the name to random daemons again and again
-// for the time, each with one retry at another daemon, as callers do.
-func repeatCrashing(daemons []*daemon, name string, interval, duration time.Duration) {
+// repeatCrashing sends the crashing request of the name to daemons drawn at random again and
+// again for the time, each with one retry at another daemon, as callers do.
+func repeatCrashing(draw func() *daemon, name string, interval, duration time.Duration) {
 	path := "/all/" + name + "-" + crashPath
 	n := 0
 	for start := time.Now(); time.Since(start) < duration; time.Sleep(interval/2 + rand.N(interval)) {
 		for range 2 {
 			n++
-			a := daemons[rand.IntN(len(daemons))].call(call{path: path, id: fmt.Sprintf("%s-%d", name, n)})
+			a := draw().call(call{path: path, id: fmt.Sprintf("%s-%d", name, n)})
 			if a.status == http.StatusOK || a.header.Get("Retry-After") != "" {
 				break
 			}
@@ -83,6 +89,7 @@
 	}
 	f, log := crashingShards(t, 400*time.Millisecond)
 	daemons := f.startDaemons(slices.Repeat([]string{"a", "b"}, 3)...)
+	all := &daemonSet{list: daemons}
 	stopLoad := f.load(daemons, "/all/")
 	time.Sleep(time.Second)
 	var names []string
@@ -92,7 +99,7 @@
 		names = append(names, name)
 		callers.Go(func() {
 			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
-			repeatCrashing(daemons, name, time.Second, 22*time.Second)
+			repeatCrashing(all.any, name, time.Second, *crashStay)
 		})
 	}
 	callers.Wait()
@@ -117,7 +124,7 @@
 	crashes := log.all()
 	must.Positive(t, len(crashes))
 	t.Logf("%d crashes of %d requests; %d of them late more than %d times, at most %d times", len(crashes), len(names), broken, maxLateRequests, worst)
-	perSecond := make([]int, 60)
+	perSecond := make([]int, int(crashStay.Seconds())+10)
 	for _, c := range crashes {
 		perSecond[min(len(perSecond)-1, int(c.at.Sub(crashes[0].at).Seconds()))]++
 	}
@@ -131,7 +138,7 @@
 	daemons := f.startDaemons("a", "b", "a")
 	stopLoad := f.load(daemons, "/all/")
 	time.Sleep(time.Second)
-	repeatCrashing(daemons, "crashing", 200*time.Millisecond, 2*time.Second)
+	repeatCrashing((&daemonSet{list: daemons}).any, "crashing", 200*time.Millisecond, 2*time.Second)
 	stopLoad()
 	logCrashes(t, log, []string{"crashing"})
 	// One searcher of each shard, and one that proves the cause.
@@ -170,3 +177,69 @@
 	}
 	must.Eq(t, before, len(log.all()))
 }
+
+// Crashing requests come for long, daemons are restarted in turn, and searchers end for
+// other causes all the while.
+func TestRestartsAndOtherCrashesHideCrashingRequests(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs 6 daemons under load for 25 s")
+	}
+	f, log := crashingShards(t, 500*time.Millisecond)
+	daemons := &daemonSet{list: f.startDaemons(slices.Repeat([]string{"a", "b", "c"}, 2)...)}
+	var callers sync.WaitGroup
+	var names []string
+	ctx, stop := context.WithTimeout(t.Context(), *crashStay)
+	defer stop()
+	callers.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			// A searcher of one shard ends, under a request that does not come again.
+			path := fmt.Sprintf("/all/%d-at-s%d-%s", n, n%shardCount, crashPath)
+			daemons.any().call(call{path: path, id: fmt.Sprintf("other-%d", n)})
+			time.Sleep(300 * time.Millisecond)
+		}
+	})
+	for i := range 10 {
+		name := fmt.Sprintf("crashing%d", i)
+		names = append(names, name)
+		callers.Go(func() { repeatCrashing(daemons.any, name, time.Second, *crashStay) })
+	}
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(3 * time.Second)
+		daemons.restart(f, i)
+	}
+	callers.Wait()
+	logCrashes(t, log, names)
+	for _, name := range names {
+		must.LessEq(t, maxLateRequests, log.lateRequests(name), must.Sprint(name))
+	}
+}
+
+// daemonSet are the daemons of a fleet, which are restarted while callers use them.
+type daemonSet struct {
+	mu   sync.Mutex
+	list []*daemon
+}
+
+// any returns a daemon drawn at random.
+func (s *daemonSet) any() *daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list[rand.IntN(len(s.list))]
+}
+
+// restart stops the daemon at the index, counted round, and starts it again.
+func (s *daemonSet) restart(f *fleet, i int) {
+	s.mu.Lock()
+	i %= len(s.list)
+	d := s.list[i]
+	s.mu.Unlock()
+	d.stop()
+	must.NoError(f.t, <-d.done)
+	d.done <- nil // read by the cleanup
+	again := f.newDaemon(string(d.settings.Instance), string(d.settings.Zone))
+	again.settings = d.settings
+	f.run(again)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list[i] = again
+}
--- a/internal/test/rrplatform/crash_test.go
+++ b/internal/test/rrplatform/crash_test.go
@@ -69,11 +69,20 @@
 	crashBreaksOff crashMode = "breaks off"
 )
 
+// crashes reports whether the request crashes searchers of the service. One whose path has
+// -at-SERVICE- crashes those of that service alone.
+func crashes(uri, service string) bool {
+	if !strings.HasSuffix(uri, crashPath) {
+		return false
+	}
+	return !strings.Contains(uri, "-at-") || strings.Contains(uri, "-at-"+service+"-")
+}
+
 // crashing makes the searcher end once it begins to run a crashing request, and start
 // again after the time given, as a new process at the same address.
 func (f *fleet) crashing(s *standin.Searcher, zone string, mode crashMode, restart time.Duration, incarnation int, log *crashLog) {
 	s.SetInterceptor(func(_ int, w http.ResponseWriter, r *http.Request) bool {
-		if !strings.HasSuffix(r.RequestURI, crashPath) {
+		if !crashes(r.RequestURI, s.Service) {
 			return true
 		}
 		log.add(r.Header.Get("X-Attempt-Id"))
