Show what the losses of crashing requests lead to

They come first now. New: the counter quarantines, and the state that a loss leaves its request in (request-is) in connection lost, so that a verdict that other crashes put off shows. No decision changed.

--- a/internal/app/rrdispatchers/crash.go
+++ b/internal/app/rrdispatchers/crash.go
@@ -83,14 +83,15 @@
 	if c.dead {
 		found = searcherDead
 	}
-	d.parent.metrics.Count(rrmetrics.GroupCrashChecks, string(found))
-	d.parent.log.Failure("connection lost", "id", at.job.Request.ID, "service", d.name, "searcher", at.searcher,
-		"outcome", at.response.Outcome, "searcher-is", found, "isolation", at.isolation, "fingerprint", at.job.Fingerprint)
 	if c.dead && !reported {
 		d.step(func(now rrunit.Instant) []rrdispatch.Action {
 			return d.core.RecordCrash(now, at.job.Fingerprint, at.searcher, at.isolation)
 		})
 	}
+	state, _ := d.parent.suspects.State(d.parent.clock(), at.job.Fingerprint)
+	d.parent.metrics.Count(rrmetrics.GroupCrashChecks, string(found))
+	d.parent.log.Failure("connection lost", "id", at.job.Request.ID, "service", d.name, "searcher", at.searcher,
+		"outcome", at.response.Outcome, "searcher-is", found, "isolation", at.isolation, "request-is", state, "fingerprint", at.job.Fingerprint)
 }
 
 // TakeCrashes returns, once each, the crashes after which nobody has answered the request.
--- a/internal/app/rrdispatchers/quarantine.go
+++ b/internal/app/rrdispatchers/quarantine.go
@@ -1,6 +1,7 @@
 package rrdispatchers
 
 import (
+	"rhubarbreel.example/rhubarbreel/internal/app/rrmetrics"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrpeer"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrdispatch"
@@ -10,6 +11,7 @@
 // to many services at once, and passes the quarantine on to the other daemons.
 func (p *Dispatchers) quarantineAndAnnounce(name rrunit.ServiceName, q rrpeer.Quarantine) {
 	p.log.StateChange("request quarantined", "service", name, "fingerprint", q.Fingerprint, "for", q.TimeLeft, "source", "own")
+	p.metrics.Count(rrmetrics.GroupQuarantines, "own")
 	p.applyQuarantine(q)
 	p.onQuarantine(q)
 }
@@ -18,6 +20,7 @@
 func (p *Dispatchers) Quarantine(q rrpeer.Quarantine) {
 	if p.applyQuarantine(q) {
 		p.log.StateChange("request quarantined", "fingerprint", q.Fingerprint, "for", q.TimeLeft, "source", "peer")
+		p.metrics.Count(rrmetrics.GroupQuarantines, "peer")
 	}
 }
 
--- a/internal/app/rrmetrics/gateway.go
+++ b/internal/app/rrmetrics/gateway.go
@@ -65,6 +65,9 @@
 	// GroupCrashChecks counts attempts whose connection was lost, by what the check of
 	// the searcher found.
 	GroupCrashChecks Group = "losses"
+	// GroupQuarantines counts requests that were quarantined, by whether this daemon decided
+	// on it.
+	GroupQuarantines Group = "quarantines"
 	// GroupErrors counts unexpected errors, by service.
 	GroupErrors Group = "errors"
 	// GroupSearcherStatus counts changes of searchers' status.
@@ -90,7 +93,7 @@
 		latencies: make(map[Group]map[string]*latencyWindow),
 	}
 	for _, g := range []Group{
-		GroupRequests, GroupDegraded, GroupAttempts, GroupExtraAttempts, GroupConnections, GroupPreconnects, GroupStore, GroupPeerCalls, GroupEvidence, GroupUnreadableLoads, GroupLimited, GroupPauses, GroupCrashChecks, GroupErrors, GroupSearcherStatus,
+		GroupRequests, GroupDegraded, GroupAttempts, GroupExtraAttempts, GroupConnections, GroupPreconnects, GroupStore, GroupPeerCalls, GroupEvidence, GroupUnreadableLoads, GroupLimited, GroupPauses, GroupCrashChecks, GroupQuarantines, GroupErrors, GroupSearcherStatus,
 		GroupPeerBytes, GroupPeerConnections,
 	} {
 		m.groups[g] = new(expvar.Map)
@@ -135,16 +138,16 @@
 	return out
 }
 
-// ServeHTTP writes all variables as JSON: the process's own, such as memstats,
-// and the daemon's under the name rhubarbreel.
+// ServeHTTP writes all variables as JSON: the daemon's under the name rhubarbreel, then the
+// process's own, such as memstats, of which a collector may cut off the end.
 func (m *GatewayMetrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) { writeVars(w, m.root) }
 
 func writeVars(w http.ResponseWriter, root *expvar.Map) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	// Errors are ignored: they mean that the client has disconnected.
-	_, _ = fmt.Fprint(w, "{\n")
-	expvar.Do(func(kv expvar.KeyValue) { _, _ = fmt.Fprintf(w, "%q: %s,\n", kv.Key, kv.Value) })
-	_, _ = fmt.Fprintf(w, "%q: %s\n}\n", "rhubarbreel", root)
+	_, _ = fmt.Fprintf(w, "{\n%q: %s", "rhubarbreel", root)
+	expvar.Do(func(kv expvar.KeyValue) { _, _ = fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value) })
+	_, _ = fmt.Fprint(w, "\n}\n")
 }
 
 // JoinLabels joins labels, each a name or a number, with commas.
--- a/internal/app/rrmetrics/rrmetrics_test.go
+++ b/internal/app/rrmetrics/rrmetrics_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -51,3 +53,15 @@
 	now = now.Add(time.Hour)
 	must.Eq(t, 0, m.Latency()["shelf"].Count)
 }
+
+// A collector that keeps the first kilobytes alone gets the daemon's own variables.
+func TestOwnVariablesComeFirst(t *testing.T) {
+	m := rrmetrics.NewGatewayMetrics()
+	m.Count(rrmetrics.GroupQuarantines, "own")
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+	must.True(t, json.Valid(w.Body.Bytes()))
+	body := w.Body.String()
+	must.StrContains(t, body, `"quarantines": {"own": 1}`)
+	must.Less(t, strings.Index(body, `"memstats"`), strings.Index(body, `"quarantines"`))
+}
