Let trials wait again after another daemon has lost the request

An answer of one service let the trials at all services go at once, also after another daemon had lost the request since. Found by reading; the case "answered, then lost at another daemon" of TestTrialsWaitForEachOther failed before (suspect in place of held).

--- a/internal/policy/rrquarantine/peers.go
+++ b/internal/policy/rrquarantine/peers.go
@@ -44,5 +44,6 @@
 	s := t.suspect(now, fingerprint)
 	if s.addLoss(service, id) {
 		s.peerLosses++
+		s.isProven = false
 	}
 }
--- a/internal/policy/rrquarantine/rrquarantine_test.go
+++ b/internal/policy/rrquarantine/rrquarantine_test.go
@@ -165,6 +165,12 @@
 		check(t, tr, 299*ms, rrquarantine.StateHeld)
 		check(t, tr, 300*ms, rrquarantine.StateSuspect)
 	})
+	t.Run("answered, then lost at another daemon", func(t *testing.T) {
+		tr := newTracker()
+		tr.RecordAnswer(f, "x")
+		tr.AddPeerLoss(60*ms, f, "z", "z")
+		check(t, tr, 60*ms, rrquarantine.StateHeld)
+	})
 	t.Run("ended without a finding", func(t *testing.T) {
 		tr := newTracker()
 		tr.EndTrial(f)
