--- a/internal/test/rrplatform/crash_scale_test.go
+++ b/internal/test/rrplatform/crash_scale_test.go
@@ -105,11 +105,27 @@
 	callers.Wait()
 	stopLoad()
 	logCrashes(t, log, names)
+	t.Logf("%d requests quarantined", f.quarantined())
 	for _, name := range names {
 		must.LessEq(t, maxLateRequests, log.lateRequests(name), must.Sprint(name))
 	}
 }
 
+// quarantined returns how many requests the daemons have quarantined.
+func (f *fleet) quarantined() int {
+	fingerprints := make(map[string]bool)
+	for _, d := range f.daemons {
+		for _, line := range strings.Split(d.logs.String(), "\n") {
+			if _, rest, ok := strings.Cut(line, `msg="request quarantined"`); ok {
+				_, rest, _ = strings.Cut(rest, "fingerprint=")
+				fingerprint, _, _ := strings.Cut(rest, " ")
+				fingerprints[fingerprint] = true
+			}
+		}
+	}
+	return len(fingerprints)
+}
+
 // logCrashes logs how many crashes the crashing requests caused, and the late requests.
 func logCrashes(t *testing.T, log *crashLog, names []string) {
 	t.Helper()
