Hold a suspect until the decision that is due is made

A request that had just proved to crash searchers ended one more (5 of 4 in 1 of 4 runs of TestEachShardFindsACrashingRequestByItself): a service that was faster than the one with the timer sent it in the instant of the verdict. A fault of sharing the tracker between services; TestTrialsWaitForEachOther, "lost", failed before (suspect in place of held at the instant).

--- a/internal/policy/rrquarantine/rrquarantine.go
+++ b/internal/policy/rrquarantine/rrquarantine.go
@@ -241,7 +241,8 @@
 	if s == nil || now >= s.expiresAt {
 		return StateClear, 0
 	}
-	if until := max(s.heldUntil, s.decideAt); now < until {
+	if until := max(s.heldUntil, s.decideAt); now < until || s.decideAt != 0 {
+		// A decision that is due waits for Tick, which any service may call.
 		return StateHeld, until
 	}
 	if holdsUntil := t.trials[f].holdsUntil; !s.isProven && now < holdsUntil {
--- a/internal/policy/rrquarantine/rrquarantine_test.go
+++ b/internal/policy/rrquarantine/rrquarantine_test.go
@@ -157,6 +157,8 @@
 		tr.RecordLoss(60*ms, rrquarantine.Loss{Fingerprint: f, Service: "x", Searcher: "x2", Isolation: rrquarantine.IsolationAlone})
 		tr.EndTrial(f)
 		check(t, tr, 150*ms, rrquarantine.StateHeld)
+		// Another service may be faster than the one that makes the decision.
+		check(t, tr, 160*ms, rrquarantine.StateHeld)
 		must.Len(t, 1, tr.Tick(160*ms))
 		check(t, tr, 160*ms, rrquarantine.StateQuarantined)
 	})
