Refuse requests four times as long that crash searchers again

In a stay of 4 minutes under 100 crashing requests one of them reached searchers in four late requests, of three: quarantines of one and two minutes had ended meanwhile. Now 1, 4, 16 and 64 minutes, in place of up to 32 by doubling.

--- a/internal/policy/rrquarantine/loss.go
+++ b/internal/policy/rrquarantine/loss.go
@@ -68,12 +68,12 @@
 	return out
 }
 
-// quarantine quarantines the request for the set duration, doubled for each time before. The
-// searchers that it has crashed show no common cause for the losses of others any more.
+// quarantine quarantines the request for the set duration, or longer if it was quarantined
+// before. The searchers that it has crashed show no common cause for the losses of others any more.
 func (t *Tracker) quarantine(now rrunit.Instant, f rrunit.Fingerprint) Quarantine {
 	duration := t.duration
 	if s := t.suspects[f]; s != nil {
-		duration <<= min(s.quarantines, maxDoublings)
+		duration <<= min(prolongShift*s.quarantines, maxProlongShift)
 		t.incidents = slices.DeleteFunc(t.incidents, func(i incident) bool { return slices.Contains(s.searchers, i.searcher) })
 	}
 	q := Quarantine{Fingerprint: f, Until: now.Add(duration)}
--- a/internal/policy/rrquarantine/rrquarantine.go
+++ b/internal/policy/rrquarantine/rrquarantine.go
@@ -75,8 +75,10 @@
 	maxTrialWait = 250 * time.Millisecond
 	// maxUntold limits memory; the oldest loss is dropped first.
 	maxUntold = 1024
-	// maxDoublings is how often the time of a quarantine is doubled at most.
-	maxDoublings = 5
+	// Each quarantine lasts 1<<prolongShift times as long as the one before, at most
+	// 1<<maxProlongShift times as long as the first.
+	prolongShift    = 2
+	maxProlongShift = 6
 	// maxSuspects limits memory; the oldest suspect is dropped first.
 	maxSuspects = 4096
 )
