Tell all daemons at once of a request that failed with its searchers

A request that ends searchers some time after they begin to run it ended 12 of 12 searchers: a second attempt had left at each shard before the first was lost, so that none was left for a trial, and its caller returned at a daemon that was to be told after 250 to 500 ms. The users' record shows such ends, 10 to 60 ms after the start of the run.

Fix: once a request has failed because its searchers ended, nobody will answer it, and its crashes are told to the daemons that read the store at once, and by them to those that wait for changes, at most ten times a second.

--- a/internal/app/rrdispatchers/dispatcher.go
+++ b/internal/app/rrdispatchers/dispatcher.go
@@ -216,6 +216,9 @@
 	if at := d.attempts[a.Attempt]; at != nil && a.Reason == rrquery.ReasonNone {
 		r.Response, r.Searcher = &at.response, at.searcher
 	}
+	if a.Reason == rrquery.ReasonLost && d.parent.suspects.RecordUnanswered(j.Fingerprint) {
+		d.parent.onUnanswered()
+	}
 	return func() { j.done(r) }
 }
 
--- a/internal/app/rrdispatchers/rrdispatchers.go
+++ b/internal/app/rrdispatchers/rrdispatchers.go
@@ -98,6 +98,9 @@
 
 	// onQuarantine is called with each quarantine that this daemon decided on.
 	onQuarantine func(rrpeer.Quarantine)
+	// onUnanswered is called, under a dispatcher's lock, when a request has ended without an
+	// answer after crashes that other daemons were not told of.
+	onUnanswered func()
 
 	// mu guards dispatchers and quarantined.
 	mu          sync.RWMutex
@@ -115,6 +118,12 @@
 	return func(p *Dispatchers) { p.onQuarantine = notify }
 }
 
+// WithUnanswered sets the function that is called when TakeCrashes has crashes to tell other
+// daemons of at once. It must not block.
+func WithUnanswered(notify func()) Option {
+	return func(p *Dispatchers) { p.onUnanswered = notify }
+}
+
 // New returns an empty set of dispatchers, which work until ctx ends.
 func New(ctx context.Context, settings *rrsettings.GatewaySettings, forwarder rrforward.Forwarder, logger *rrlog.Log, metrics *rrmetrics.GatewayMetrics, opts ...Option) *Dispatchers {
 	p := &Dispatchers{
@@ -128,6 +137,7 @@
 		suspects:     rrquarantine.New(quarantineTime),
 		dispatchers:  make(map[rrunit.ServiceName]*dispatcher),
 		onQuarantine: func(rrpeer.Quarantine) {},
+		onUnanswered: func() {},
 
 		quarantined: make(map[rrunit.Fingerprint]rrunit.Instant),
 	}
--- a/internal/app/rrfollow/peers.go
+++ b/internal/app/rrfollow/peers.go
@@ -139,7 +139,7 @@
 	has := request.Findings()
 	findings := f.findings(request.Limits(), &has)
 	response.Quarantines, response.Crashes = findings.Quarantines, findings.Crashes
-	return response, f.changed, response.Changes != nil && response.Changes.HasEntries() || len(response.Quarantines) > 0
+	return response, f.changed, response.Changes != nil && response.Changes.HasEntries() || !findings.IsEmpty()
 }
 
 // withNewerTable returns the changes with this daemon's table if that has a greater number
--- a/internal/app/rrfollow/quarantine.go
+++ b/internal/app/rrfollow/quarantine.go
@@ -24,6 +24,12 @@
 	// crashRelayTime is how long a crash is passed on: long enough for two requests in a
 	// row to be lost on each of the two hops to any other daemon.
 	crashRelayTime = rrunit.Duration(5 * time.Second)
+	// announceDelay is how long findings are gathered before the readers are told of them: a
+	// request that is lost at several services ends at all of them soon after.
+	announceDelay = 20 * time.Millisecond
+	// minCrashRelayInterval is the least time between two times that waiting daemons are told
+	// of crashes at once. Many daemons lose requests at the same time when a zone fails.
+	minCrashRelayInterval = 100 * time.Millisecond
 )
 
 func newQuarantineNotices() notices[rrunit.Fingerprint] {
@@ -41,8 +47,16 @@
 	f.mu.Lock()
 	f.addVerdict(q)
 	f.mu.Unlock()
+	f.announce()
+}
+
+// AnnounceCrashes passes the crashes that TakeCrashes has on to the other daemons at once. It
+// does not block.
+func (f *Follower) AnnounceCrashes() { f.announce() }
+
+func (f *Follower) announce() {
 	select {
-	case f.ownVerdict <- struct{}{}:
+	case f.ownFinding <- struct{}{}:
 	default:
 		// The readers are about to be told.
 	}
@@ -60,8 +74,7 @@
 	return true
 }
 
-// addCrash adds a crash to those that are passed on and reports whether it is new. It goes
-// out with the next message, as many requests can be lost at once.
+// addCrash adds a crash to those that are passed on and reports whether it is new.
 func (f *Follower) addCrash(c rrpeer.Crash) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -76,11 +89,34 @@
 			f.cfg.Quarantine(q)
 		}
 	}
+	hasCrashes := false
 	for _, c := range findings.Crashes {
 		if f.addCrash(c) {
 			f.cfg.AddPeerCrash(c.CrashedRun)
+			hasCrashes = true
 		}
 	}
+	if hasCrashes {
+		f.relayCrashes()
+	}
+}
+
+// relayCrashes answers the daemons that wait for changes, now or minCrashRelayInterval after
+// the last time.
+func (f *Follower) relayCrashes() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.willRelayCrashes {
+		return
+	}
+	f.willRelayCrashes = true
+	wait := minCrashRelayInterval - f.clock().Sub(f.crashesRelayedAt)
+	time.AfterFunc(max(0, wait), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.willRelayCrashes, f.crashesRelayedAt = false, f.clock()
+		f.notifyWaiters()
+	})
 }
 
 // findings returns what to tell a daemon that keeps as much as the limits, without what it
@@ -107,24 +143,30 @@
 
 // takeCrashes adds this daemon's own crashes to those that are passed on.
 func (f *Follower) takeCrashes() {
-	for _, run := range f.cfg.TakeCrashes() {
+	runs := f.cfg.TakeCrashes()
+	for _, run := range runs {
 		f.addCrash(rrpeer.Crash{CrashedRun: run, TimeLeft: crashRelayTime})
 	}
+	if len(runs) > 0 {
+		f.relayCrashes()
+	}
 }
 
 // tellReaders exchanges crashes, active quarantines and newer tables with the other readers
 // while this daemon is a reader, until ctx ends. Followers get them with what they follow,
 // but readers follow nobody. Only for some time after a daemon's start or a restore of the
-// store may other readers know of a newer table. Any daemon tells all readers of its own
-// quarantines at once.
+// store may other readers know of a newer table. Any daemon tells all readers at once
+// of its own quarantines, and of crashes whose request has failed.
 func (f *Follower) tellReaders(ctx context.Context) {
 	timer := time.NewTimer(readerTellInterval)
 	defer timer.Stop()
 	for {
-		hasVerdict := false
+		hasFinding := false
 		select {
-		case <-f.ownVerdict:
-			hasVerdict = true
+		case <-f.ownFinding:
+			hasFinding = true
+			rrunit.Sleep(ctx, announceDelay)
+			f.takeCrashes()
 		case <-timer.C:
 		case <-ctx.Done():
 			return
@@ -133,7 +175,7 @@
 		f.mu.Lock()
 		readers, isReader := f.core.OtherReaders()
 		f.mu.Unlock()
-		if !isReader && !hasVerdict {
+		if !isReader && !hasFinding {
 			continue
 		}
 		request, _ := f.feedRequest()
--- a/internal/app/rrfollow/rrfollow.go
+++ b/internal/app/rrfollow/rrfollow.go
@@ -59,9 +59,9 @@
 	cfg   Config
 	clock rrunit.Clock
 
-	// ownVerdict gets an element, unless it has one, when this daemon has decided on a
-	// quarantine.
-	ownVerdict chan struct{}
+	// ownFinding gets an element, unless it has one, when this daemon has found out something
+	// that all daemons are to be told of at once.
+	ownFinding chan struct{}
 
 	// loggedCause is why the store is read, as last logged.
 	loggedCause rrsource.Cause
@@ -88,6 +88,11 @@
 	// quarantines and crashes are those that this daemon passes on.
 	quarantines notices[rrunit.Fingerprint]
 	crashes     notices[rrpeer.CrashedRun]
+	// crashesRelayedAt is when the daemons that wait for changes were last told of crashes
+	// without a change.
+	crashesRelayedAt rrunit.Instant
+	// willRelayCrashes is set while a timer is about to tell them again.
+	willRelayCrashes bool
 	// verdicts are this daemon's own quarantines that are, or are to be, recorded in the
 	// store; those of before its last start too.
 	verdicts map[rrunit.Fingerprint]verdict
@@ -120,7 +125,7 @@
 		changed:      make(chan struct{}),
 		quarantines:  newQuarantineNotices(),
 		crashes:      newCrashNotices(),
-		ownVerdict:   make(chan struct{}, 1),
+		ownFinding:   make(chan struct{}, 1),
 		verdicts:     make(map[rrunit.Fingerprint]verdict),
 
 		restored:      make(chan struct{}),
--- a/internal/app/rrnode/rrnode.go
+++ b/internal/app/rrnode/rrnode.go
@@ -130,7 +130,8 @@
 // build creates the components that serve requests and follow the platform's state.
 func (n *Node) build(workCtx context.Context, feeds rrpeers.FeedClient) {
 	n.dispatchers = rrdispatchers.New(workCtx, n.settings, n.forwarder, n.log, n.metrics,
-		rrdispatchers.WithQuarantine(func(q rrpeer.Quarantine) { n.follower.AnnounceQuarantine(q) }))
+		rrdispatchers.WithQuarantine(func(q rrpeer.Quarantine) { n.follower.AnnounceQuarantine(q) }),
+		rrdispatchers.WithUnanswered(func() { n.follower.AnnounceCrashes() }))
 	n.gateway = rrgateway.New(n.dispatchers, n.platform.HeaderNames, n.log, n.metrics)
 	n.follower = rrfollow.New(rrfollow.Config{
 		Self: rrcatalog.Instance{
--- a/internal/policy/rrquarantine/peers.go
+++ b/internal/policy/rrquarantine/peers.go
@@ -19,20 +19,34 @@
 	t.untold = append(t.untold, untoldLoss{fingerprint: l.Fingerprint, service: l.Service, searcher: l.Searcher, at: now})
 }
 
-// TakeUnanswered calls f with the losses, each once, whose request nobody has answered for
-// unansweredTime.
+// RecordUnanswered records that a request ended without an answer after its losses, so that
+// other daemons need not wait for one, and reports whether they have to be told of it.
+func (t *Tracker) RecordUnanswered(f rrunit.Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	isUntold := false
+	for i := range t.untold {
+		if t.untold[i].fingerprint == f {
+			t.untold[i].isDue, isUntold = true, true
+		}
+	}
+	return isUntold
+}
+
+// TakeUnanswered calls f with the losses, each once, whose request ended without an answer, or
+// was not answered for unansweredTime.
 func (t *Tracker) TakeUnanswered(now rrunit.Instant, f func(rrunit.Fingerprint, rrunit.ServiceName, rrunit.SearcherID)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	due := 0
-	for due < len(t.untold) && now.Sub(t.untold[due].at) >= unansweredTime {
-		l := t.untold[due]
-		due++
+	t.untold = slices.DeleteFunc(t.untold, func(l untoldLoss) bool {
+		if !l.isDue && now.Sub(l.at) < unansweredTime {
+			return false
+		}
 		if s := t.suspects[l.fingerprint]; s != nil && slices.Contains(s.services, l.service) {
 			f(l.fingerprint, l.service, l.searcher)
 		}
-	}
-	t.untold = slices.Delete(t.untold, 0, due)
+		return true
+	})
 }
 
 // AddPeerLoss makes a request suspect that another daemon has lost at the searcher. By itself
--- a/internal/policy/rrquarantine/rrquarantine.go
+++ b/internal/policy/rrquarantine/rrquarantine.go
@@ -137,6 +137,8 @@
 	service     rrunit.ServiceName
 	searcher    rrunit.SearcherID
 	at          rrunit.Instant
+	// isDue is set once the request has ended without an answer.
+	isDue bool
 }
 
 // trial are the attempts in flight of one suspect.
--- a/internal/test/rrplatform/crash_scale_test.go
+++ b/internal/test/rrplatform/crash_scale_test.go
@@ -65,6 +65,23 @@
 	return f, log
 }
 
+// crashDelay returns a random time for which a searcher runs a crashing request.
+func (f *fleet) crashDelay() time.Duration {
+	if f.maxCrashDelay == 0 {
+		return 0
+	}
+	return f.maxCrashDelay/5 + rand.N(f.maxCrashDelay-f.maxCrashDelay/5)
+}
+
+// awaitReaders waits until as many daemons read the store, as do once all daemons of as many
+// regions know each other.
+func (f *fleet) awaitReaders(daemons []*daemon, n int) {
+	f.t.Helper()
+	f.eventually("daemons know each other", func() bool {
+		return len(slices.DeleteFunc(slices.Clone(daemons), func(d *daemon) bool { return !d.isReader() })) == n
+	})
+}
+
 // repeatCrashing sends the crashing request of the name to daemons drawn at random again and
 // again for the time, each with one retry at another daemon, as callers do.
 func repeatCrashing(draw func() *daemon, name string, interval, duration time.Duration) {
@@ -152,6 +169,7 @@
 func TestEachShardFindsACrashingRequestByItself(t *testing.T) {
 	f, log := crashingShards(t, 5*time.Second)
 	daemons := f.startDaemons("a", "b", "a")
+	f.awaitReaders(daemons, 2)
 	stopLoad := f.load(daemons, "/all/")
 	time.Sleep(time.Second)
 	repeatCrashing((&daemonSet{list: daemons}).any, "crashing", 200*time.Millisecond, 2*time.Second)
@@ -161,6 +179,23 @@
 	must.LessEq(t, shardCount+1, len(log.all()))
 }
 
+// A request that ends searchers some time after they have begun to run it is sent to a second
+// one of each shard before the first has ended, and has no attempts left for a trial; its
+// caller returns at a daemon that was not told.
+func TestHedgesHideACrashingRequest(t *testing.T) {
+	f, log := crashingShards(t, 5*time.Second)
+	f.maxCrashDelay = 60 * time.Millisecond
+	daemons := f.startDaemons("a", "b", "a")
+	f.awaitReaders(daemons, 2)
+	stopLoad := f.load(daemons, "/all/")
+	time.Sleep(time.Second)
+	repeatCrashing((&daemonSet{list: daemons}).any, "crashing", 200*time.Millisecond, 2*time.Second)
+	stopLoad()
+	logCrashes(t, log, []string{"crashing"})
+	// All attempts of each shard, and one that proves the cause.
+	must.LessEq(t, defaultRouting.Attempts*shardCount+1, len(log.all()))
+}
+
 // All daemons are restarted at once, and none remembers which requests crash searchers.
 func TestRestartOfAllDaemonsForgetsCrashingRequests(t *testing.T) {
 	if testing.Short() {
--- a/internal/test/rrplatform/crash_test.go
+++ b/internal/test/rrplatform/crash_test.go
@@ -86,6 +86,7 @@
 			return true
 		}
 		log.add(r.Header.Get("X-Attempt-Id"))
+		time.Sleep(f.crashDelay())
 		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
 			endConnection(conn, mode)
 		}
@@ -259,9 +260,7 @@
 func TestRestartForgetsQuarantines(t *testing.T) {
 	f, log := crashingFleet(t)
 	daemons := f.startDaemons("a", "b", "a", "b")
-	f.eventually("two daemons read the store", func() bool {
-		return len(slices.DeleteFunc(slices.Clone(daemons), func(d *daemon) bool { return !d.isReader() })) == 2
-	})
+	f.awaitReaders(daemons, 2)
 	f.quarantineAt(daemons[0])
 	time.Sleep(6 * time.Second)
 	i := slices.IndexFunc(daemons, func(d *daemon) bool { return !d.isReader() })
--- a/internal/test/rrplatform/fleet_test.go
+++ b/internal/test/rrplatform/fleet_test.go
@@ -39,6 +39,8 @@
 	tableVersion int
 	// extraServices are services in the routing table beside the standard ones.
 	extraServices []string
+	// maxCrashDelay is how long searchers run a crashing request at most before they end.
+	maxCrashDelay time.Duration
 }
 
 // defaultRouting holds the parameters that all routes share.
