Show shared suspects once in the state, and name earlier versions

Each service of a daemon listed all of its quarantines: with 512 of them and 135 services some 69,000 entries. They stand once at the top, as does now the number of suspects. Findings: "earlier versions" in place of "first daemons".

--- a/internal/app/rrdispatchers/quarantine.go
+++ b/internal/app/rrdispatchers/quarantine.go
@@ -56,6 +56,9 @@
 	d.step(func(now rrunit.Instant) []rrdispatch.Action { return d.core.Quarantine(now, fingerprint, until) })
 }
 
+// Suspects returns how many requests may have crashed a searcher.
+func (p *Dispatchers) Suspects() int { return p.suspects.Suspects() }
+
 // Quarantined returns the active quarantines.
 func (p *Dispatchers) Quarantined() []rrpeer.Quarantine {
 	now := p.clock()
--- a/internal/app/rrnode/operators.go
+++ b/internal/app/rrnode/operators.go
@@ -19,6 +19,7 @@
 	dump.Add("instance", func() any { return n.identity() })
 	dump.Add("catalog", func() any { return n.follower.State() })
 	dump.Add("services", func() any { return n.dispatchers.State() })
+	dump.Add("suspects", func() any { return n.dispatchers.Suspects() })
 	dump.Add("quarantines", func() any { return n.dispatchers.Quarantined() })
 	n.metrics.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	mux := http.NewServeMux()
--- a/internal/domain/rrpeer/feed.go
+++ b/internal/domain/rrpeer/feed.go
@@ -22,13 +22,13 @@
 	// requester that does not say.
 	Table rrunit.DefinitionNumber `json:"table,omitempty"`
 	// Quarantines are the active quarantines that the requester knows, and Crashes the recent
-	// crashes. Those beyond what the first daemons take are in MoreQuarantines and
+	// crashes. Those beyond what earlier versions take are in MoreQuarantines and
 	// MoreCrashes; SetFindings sets all of them.
 	Quarantines     []Quarantine `json:"quarantines,omitempty"`
 	MoreQuarantines []Quarantine `json:"morequarantines,omitempty"`
 	Crashes         []Crash      `json:"crashes,omitempty"`
 	MoreCrashes     []Crash      `json:"morecrashes,omitempty"`
-	// KeepsMore is set if the requester keeps more findings than the first daemons.
+	// KeepsMore is set if the requester keeps more findings than earlier versions.
 	KeepsMore bool `json:"keepsmore,omitempty"`
 	// Wait is how long to wait for changes.
 	Wait rrunit.Duration `json:"wait"`
--- a/internal/domain/rrpeer/findings.go
+++ b/internal/domain/rrpeer/findings.go
@@ -6,10 +6,10 @@
 const (
 	MaxQuarantines = 512
 	MaxCrashes     = 512
-	// The first daemons refuse requests with more than these, and keep no more, the first
-	// by key.
-	firstMaxQuarantines = 32
-	firstMaxCrashes     = 16
+	// Earlier versions refuse requests with more than these, and keep no more, the first by
+	// key.
+	earlierMaxQuarantines = 32
+	earlierMaxCrashes     = 16
 )
 
 // Findings are what daemons have found out of requests that crash searchers, in the order of
@@ -28,8 +28,8 @@
 // SetFindings sets the findings that the requester knows.
 func (a *FeedRequest) SetFindings(f Findings) {
 	a.KeepsMore = true
-	a.Quarantines, a.MoreQuarantines = split(f.Quarantines, firstMaxQuarantines)
-	a.Crashes, a.MoreCrashes = split(f.Crashes, firstMaxCrashes)
+	a.Quarantines, a.MoreQuarantines = split(f.Quarantines, earlierMaxQuarantines)
+	a.Crashes, a.MoreCrashes = split(f.Crashes, earlierMaxCrashes)
 }
 
 func split[T any](list []T, n int) (first, rest []T) {
@@ -51,7 +51,7 @@
 	if a.KeepsMore {
 		return Limits{Quarantines: MaxQuarantines, Crashes: MaxCrashes}
 	}
-	return Limits{Quarantines: firstMaxQuarantines, Crashes: firstMaxCrashes}
+	return Limits{Quarantines: earlierMaxQuarantines, Crashes: earlierMaxCrashes}
 }
 
 // check returns an error that names the first invalid field.
--- a/internal/domain/rrpeer/findings_test.go
+++ b/internal/domain/rrpeer/findings_test.go
@@ -10,9 +10,9 @@
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 )
 
-// A request with more findings than the first daemons take has the rest in fields that they
+// A request with more findings than earlier versions take has the rest in fields that they
 // ignore.
-func TestFirstDaemonsTakeRequestsWithManyFindings(t *testing.T) {
+func TestEarlierVersionsTakeRequestsWithManyFindings(t *testing.T) {
 	var f rrpeer.Findings
 	for i := range rrunit.Fingerprint(100) {
 		f.Quarantines = append(f.Quarantines, rrpeer.Quarantine{Fingerprint: i, TimeLeft: rrunit.Duration(time.Second)})
@@ -28,8 +28,8 @@
 
 // A requester is not told of more than it keeps: it would be told again at once.
 func TestRequestersAreToldWhatTheyKeep(t *testing.T) {
-	var first, now rrpeer.FeedRequest
+	var earlier, now rrpeer.FeedRequest
 	now.SetFindings(rrpeer.Findings{})
-	must.Eq(t, rrpeer.Limits{Quarantines: 32, Crashes: 16}, first.Limits())
+	must.Eq(t, rrpeer.Limits{Quarantines: 32, Crashes: 16}, earlier.Limits())
 	must.Eq(t, rrpeer.Limits{Quarantines: rrpeer.MaxQuarantines, Crashes: rrpeer.MaxCrashes}, now.Limits())
 }
--- a/internal/policy/rrdispatch/state.go
+++ b/internal/policy/rrdispatch/state.go
@@ -11,7 +11,8 @@
 	// Ranks are in the order of urgency.
 	Ranks     []RankState     `json:"ranks"`
 	Searchers []SearcherState `json:"searchers"`
-	// Suspects counts the requests that may have crashed a searcher.
+	// Suspects counts the requests that may have crashed a searcher. Both are of a shard that
+	// does not share its suspects.
 	Suspects    int               `json:"suspects"`
 	Quarantines []QuarantineState `json:"quarantines"`
 }
@@ -66,7 +67,10 @@
 
 // State returns a copy of the dispatcher's state.
 func (s *Shard) State(now rrunit.Instant) State {
-	st := State{Suspects: s.suspects.Suspects(), Quarantines: []QuarantineState{}}
+	st := State{Quarantines: []QuarantineState{}}
+	if s.cfg.Suspects == nil {
+		s.addSuspects(now, &st)
+	}
 	for i, rank := range s.cfg.Ranks {
 		r := RankState{Rank: rank.Name, Waiting: s.queue.Waiting(i), Running: s.ranks[i].running}
 		r.Hedge = rrunit.Duration(s.ranks[i].hedgeDelay(s.tuning))
@@ -78,11 +82,16 @@
 	for _, w := range s.searchers {
 		st.Searchers = append(st.Searchers, w.state(now))
 	}
+	return st
+}
+
+// addSuspects adds the shard's own suspect and quarantined requests to its state.
+func (s *Shard) addSuspects(now rrunit.Instant, st *State) {
+	st.Suspects = s.suspects.Suspects()
 	for f, until := range s.suspects.ActiveQuarantines(now) {
 		st.Quarantines = append(st.Quarantines, QuarantineState{Fingerprint: f, Left: rrunit.Duration(until.Sub(now))})
 	}
 	slices.SortFunc(st.Quarantines, func(a, b QuarantineState) int { return int(b.Left - a.Left) })
-	return st
 }
 
 func (w *searcher) state(now rrunit.Instant) SearcherState {
--- a/internal/port/rrobject/rrobject.go
+++ b/internal/port/rrobject/rrobject.go
@@ -50,8 +50,8 @@
 	// Register adds the daemon to the instances and returns the store's era. It may have
 	// taken effect even if it returns an error; it is idempotent.
 	Register(ctx context.Context, i rrcatalog.Instance) (rrcatalog.Era, error)
-	// PutQuarantine records a quarantine, and DeleteQuarantine removes it if it is there.
-	// Both return the store's era, and may have taken effect even if they return an error.
+	// PutQuarantine records a quarantine and returns the store's era. DeleteQuarantine removes
+	// it if it is there. Both may have taken effect even if they return an error.
 	PutQuarantine(ctx context.Context, name rrcatalog.QuarantineName, q rrcatalog.Quarantine) (rrcatalog.Era, error)
 	DeleteQuarantine(ctx context.Context, name rrcatalog.QuarantineName) error
 }
