--- a/internal/test/rrplatform/crash_scale_test.go
+++ b/internal/test/rrplatform/crash_scale_test.go
@@ -167,24 +167,24 @@
 // A single crashing request that is sent to all shards at once ends one searcher after the
 // other at each of them, as each shard finds out by itself.
 func TestEachShardFindsACrashingRequestByItself(t *testing.T) {
-	f, log := crashingShards(t, 5*time.Second)
-	daemons := f.startDaemons("a", "b", "a")
-	f.awaitReaders(daemons, 2)
-	stopLoad := f.load(daemons, "/all/")
-	time.Sleep(time.Second)
-	repeatCrashing((&daemonSet{list: daemons}).any, "crashing", 200*time.Millisecond, 2*time.Second)
-	stopLoad()
-	logCrashes(t, log, []string{"crashing"})
 	// One searcher of each shard, and one that proves the cause.
-	must.LessEq(t, shardCount+1, len(log.all()))
+	must.LessEq(t, shardCount+1, crashesOfOneRequest(t, 0))
 }
 
 // A request that ends searchers some time after they have begun to run it is sent to a second
 // one of each shard before the first has ended, and has no attempts left for a trial; its
 // caller returns at a daemon that was not told.
 func TestHedgesHideACrashingRequest(t *testing.T) {
+	// All attempts of each shard, and one that proves the cause.
+	must.LessEq(t, defaultRouting.Attempts*shardCount+1, crashesOfOneRequest(t, 60*time.Millisecond))
+}
+
+// crashesOfOneRequest returns how many searchers of three shards end under a crashing request
+// that comes again and again at three daemons, each after maxDelay at most.
+func crashesOfOneRequest(t *testing.T, maxDelay time.Duration) int {
+	t.Helper()
 	f, log := crashingShards(t, 5*time.Second)
-	f.maxCrashDelay = 60 * time.Millisecond
+	f.maxCrashDelay = maxDelay
 	daemons := f.startDaemons("a", "b", "a")
 	f.awaitReaders(daemons, 2)
 	stopLoad := f.load(daemons, "/all/")
@@ -192,8 +192,7 @@
 	repeatCrashing((&daemonSet{list: daemons}).any, "crashing", 200*time.Millisecond, 2*time.Second)
 	stopLoad()
 	logCrashes(t, log, []string{"crashing"})
-	// All attempts of each shard, and one that proves the cause.
-	must.LessEq(t, defaultRouting.Attempts*shardCount+1, len(log.all()))
+	return len(log.all())
 }
 
 // All daemons are restarted at once, and none remembers which requests crash searchers.
