Let no other service clear a quarantined request

An answer of a service that survives the request, sent before the quarantine, forgot all that was known of it, so that it was judged as new after its end. Found on reading the change; TestOtherServicesClearAQuarantinedRequest failed before (clear in place of suspect).

--- a/internal/policy/rrdispatch/outcome.go
+++ b/internal/policy/rrdispatch/outcome.go
@@ -20,7 +20,7 @@
 		s.recordLatency(now, a)
 		s.recordServiceTime(now, a)
 		w.recordAnswer(now, a.version, now.Sub(a.startedAt))
-		s.suspects.RecordAnswer(a.fingerprint, s.cfg.Service)
+		s.suspects.RecordAnswer(now, a.fingerprint, s.cfg.Service)
 	case rrupstream.OutcomeFailed:
 		if !w.isPaused(now) {
 			w.estimator.RecordFailure(now)
--- a/internal/policy/rrdispatch/suspect_test.go
+++ b/internal/policy/rrdispatch/suspect_test.go
@@ -45,7 +45,7 @@
 	// An answer clears the request after the end of the other attempt, and the busy searcher
 	// has no room for its rank.
 	must.SliceEmpty(t, s.Finish(s.now, atBusy.Attempt, rrupstream.OutcomeFailed))
-	s.cfg.Suspects.RecordAnswer(repeated, s.cfg.Service)
+	s.cfg.Suspects.RecordAnswer(s.now, repeated, s.cfg.Service)
 	for range 100 {
 		s.now = s.now.Add(time.Millisecond)
 		s.record(s.Tick(s.now))
--- a/internal/policy/rrquarantine/rrquarantine.go
+++ b/internal/policy/rrquarantine/rrquarantine.go
@@ -208,15 +208,15 @@
 	if isActive && until <= t.quarantined[f] {
 		return
 	}
-	quarantines := 1
-	if s := t.suspects[f]; s != nil {
-		quarantines = s.quarantines
+	before := t.suspects[f]
+	s := t.addSuspect(now, f, until.Add(max(t.duration, until.Sub(now))))
+	s.quarantines = 1
+	if before != nil {
+		s.services, s.quarantines = before.services, before.quarantines
 		if !isActive {
-			quarantines++
+			s.quarantines++
 		}
 	}
-	s := t.addSuspect(now, f, until.Add(max(t.duration, until.Sub(now))))
-	s.quarantines = quarantines
 	// Each key is handled independently, so the order of the map does not matter.
 	for other, end := range t.quarantined {
 		if end <= now {
@@ -285,12 +285,13 @@
 
 // RecordAnswer records that a searcher of the service has answered the request. It clears
 // the suspicion once each service that has lost the request has answered it, as a request
-// may crash the searchers of some services alone.
-func (t *Tracker) RecordAnswer(f rrunit.Fingerprint, service rrunit.ServiceName) {
+// may crash the searchers of some services alone. An answer to what was sent before a
+// quarantine does not.
+func (t *Tracker) RecordAnswer(now rrunit.Instant, f rrunit.Fingerprint, service rrunit.ServiceName) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.suspects[f]
-	if s == nil {
+	if s == nil || now < t.quarantined[f] {
 		return
 	}
 	s.isProven = true
--- a/internal/policy/rrquarantine/rrquarantine_test.go
+++ b/internal/policy/rrquarantine/rrquarantine_test.go
@@ -65,7 +65,7 @@
 				state, _ = tr.State(until, 1)
 				must.Eq(t, rrquarantine.StateSuspect, state)
 			}
-			tr.RecordAnswer(1, "")
+			tr.RecordAnswer(until, 1, "")
 			state, _ = tr.State(until, 1)
 			must.Eq(t, rrquarantine.StateClear, state)
 		})
@@ -79,7 +79,7 @@
 	for f := range rrunit.Fingerprint(2) {
 		tr.RecordLoss(0, rrquarantine.Loss{Fingerprint: f, Searcher: "a", Isolation: rrquarantine.IsolationUnsuspected})
 	}
-	tr.RecordAnswer(0, "")
+	tr.RecordAnswer(0, 0, "")
 	take := func(now rrunit.Instant) []rrunit.Fingerprint {
 		var out []rrunit.Fingerprint
 		tr.TakeUnanswered(now, func(f rrunit.Fingerprint, _ rrunit.ServiceName, id rrunit.SearcherID) {
@@ -147,9 +147,9 @@
 	t.Run("answered", func(t *testing.T) {
 		tr := newTracker()
 		check(t, tr, 60*ms, rrquarantine.StateHeld)
-		tr.RecordAnswer(f, "x")
+		tr.RecordAnswer(60*ms, f, "x")
 		check(t, tr, 60*ms, rrquarantine.StateSuspect)
-		tr.RecordAnswer(f, "y")
+		tr.RecordAnswer(60*ms, f, "y")
 		check(t, tr, 60*ms, rrquarantine.StateClear)
 	})
 	t.Run("lost", func(t *testing.T) {
@@ -169,7 +169,7 @@
 	})
 	t.Run("answered, then lost at another daemon", func(t *testing.T) {
 		tr := newTracker()
-		tr.RecordAnswer(f, "x")
+		tr.RecordAnswer(60*ms, f, "x")
 		tr.AddPeerLoss(60*ms, f, "z", "z")
 		check(t, tr, 60*ms, rrquarantine.StateHeld)
 	})
@@ -228,3 +228,25 @@
 		must.Eq(t, rrquarantine.StateSuspect, state)
 	}
 }
+
+// The answers of services that survive a request come after its quarantine, and do not clear
+// it; nor does their answer to a trial after the quarantine.
+func TestOtherServicesClearAQuarantinedRequest(t *testing.T) {
+	tr := rrquarantine.New(duration)
+	const f rrunit.Fingerprint = 1
+	tr.RecordLoss(0, rrquarantine.Loss{Fingerprint: f, Service: "x", Searcher: "x1", Isolation: rrquarantine.IsolationUnsuspected})
+	tr.RecordLoss(50*ms, rrquarantine.Loss{Fingerprint: f, Service: "x", Searcher: "x2", Isolation: rrquarantine.IsolationAlone})
+	q := tr.Tick(150 * ms)
+	must.Len(t, 1, q)
+	tr.RecordAnswer(160*ms, f, "y")
+	tr.RecordAnswer(q[0].Until, f, "y")
+	state, _ := tr.State(q[0].Until, f)
+	must.Eq(t, rrquarantine.StateSuspect, state)
+
+	// A daemon that was told of the quarantine does not know which services lost it.
+	told := rrquarantine.New(duration)
+	told.Add(0, f, q[0].Until)
+	told.RecordAnswer(160*ms, f, "y")
+	state, _ = told.State(q[0].Until, f)
+	must.Eq(t, rrquarantine.StateSuspect, state)
+}
