--- a/internal/app/rrfollow/peers.go
+++ b/internal/app/rrfollow/peers.go
@@ -57,7 +57,7 @@
 	}
 	response, err := f.cfg.Feeds.Follow(callCtx, source.Address, request)
 	if err == nil {
-		f.addPeerFindings(rrpeer.Findings{Quarantines: response.Quarantines, Crashes: response.Crashes})
+		f.addPeerFindings(response.Findings())
 	}
 	f.cfg.Metrics.Count(rrmetrics.GroupPeerCalls, outcomeLabel(err))
 	now := f.clock()
--- a/internal/app/rrfollow/quarantine.go
+++ b/internal/app/rrfollow/quarantine.go
@@ -199,7 +199,7 @@
 		f.cfg.Log.Failure("crashes not told", "peer", reader, "err", err)
 		return
 	}
-	f.addPeerFindings(rrpeer.Findings{Quarantines: response.Quarantines, Crashes: response.Crashes})
+	f.addPeerFindings(response.Findings())
 	if response.Changes != nil {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/internal/domain/rrpeer/feed.go
+++ b/internal/domain/rrpeer/feed.go
@@ -71,7 +71,8 @@
 
 // Check builds the tables and returns an error that names the first invalid field.
 func (n *FeedResponse) Check() error {
-	if err := (&Findings{Quarantines: n.Quarantines, Crashes: n.Crashes}).check(); err != nil {
+	findings := n.Findings()
+	if err := findings.check(); err != nil {
 		return err
 	}
 	if n.Changes == nil {
--- a/internal/domain/rrpeer/findings.go
+++ b/internal/domain/rrpeer/findings.go
@@ -45,6 +45,11 @@
 	}
 }
 
+// Findings returns the findings that the requester does not have.
+func (n *FeedResponse) Findings() Findings {
+	return Findings{Quarantines: n.Quarantines, Crashes: n.Crashes}
+}
+
 // Limits returns how many findings the requester keeps. It would be sent more again and
 // again.
 func (a *FeedRequest) Limits() Limits {
