--- a/review/stand2/gone.go
+++ b/review/stand2/gone.go
@@ -163,7 +163,7 @@
 			clients.Go(func() {
 				defer c.close()
 				for loadCtx.Err() == nil {
-					_ = c.send(loadCtx, http.MethodGet, "/archive/history", "")
+					_ = c.send(loadCtx, http.MethodGet, fmt.Sprintf("/archive/history-%d-%d", i, c.sent), "")
 					sleep(loadCtx, goneLoad)
 				}
 			})
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -24,7 +24,7 @@
 const maxRunTime = 115 * time.Second
 
 // errNotACase is returned for wrong arguments.
-var errNotACase = errors.New("usage: stand2 refused|gone RECORD")
+var errNotACase = errors.New("usage: stand2 refused|gone|poison RECORD")
 
 func main() { os.Exit(run()) }
 
@@ -61,6 +61,8 @@
 	switch args[0] {
 	case "refused":
 		broken, err = playRefused(ctx, rec, trouble)
+	case "poison":
+		broken, err = playPoison(ctx, rec, trouble)
 	case "gone":
 		broken, err = playGone(ctx, rec, trouble)
 	default:
--- a/review/stand2/searcher.go
+++ b/review/stand2/searcher.go
@@ -19,10 +19,13 @@
 	slots       chan struct{}
 	queue       chan struct{}
 	// work returns how long the request with the id is processed.
-	work    func(id string) time.Duration
-	rec     *record
-	server  *http.Server
-	address string
+	work func(id string) time.Duration
+	// intercept, if set, is called for each request that would be run, and reports whether it
+	// has dealt with it.
+	intercept func(http.ResponseWriter, *http.Request) bool
+	rec       *record
+	server    *http.Server
+	address   string
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -126,6 +129,9 @@
 	case <-r.Context().Done():
 		return
 	}
+	if s.intercept != nil && s.intercept(w, r) {
+		return
+	}
 	s.run(w, r, id, len(body), timer)
 }
 
