Leave a restarted daemon only what its predecessor left

That shows in virtual time: rrbudget TestRestartsAfterTheLimitWasUsedStayWithinIt fails on the code before (106 above the limit, one daemon restarted three times). A second cause showed with it: the tenth of the slack that no process uses was renewed by each of several restarts.

Cause: as before, what a process does not remember taken for what has not happened. For one window a process now has that tenth alone, and it grows from nothing over the window, so that restarts within it share one tenth.

rrplatform's first daemons of a fleet now start with the whole system, as their tests mean it. On a trial copy without that TestCallerDisconnectsDuringDelayedCancel failed within 20 runs: it wants a second attempt in the first two seconds of a process.

--- a/internal/policy/rrbudget/window.go
+++ b/internal/policy/rrbudget/window.go
@@ -38,8 +38,9 @@
 type WindowOption func(*Window)
 
 // WithPredecessor makes the window allow for another process that worked in its place until
-// the instant, and may have used up its limit: for one span, the share grows from nothing, and
-// of the slack there is what that process left unused.
+// the instant, and may have used up its limit just before: for one span there is only what that
+// process left unused of the slack. That grows from nothing, as the process may itself have been
+// started within the span, and so on.
 func WithPredecessor(until rrunit.Instant) WindowOption {
 	return func(w *Window) { w.fullFrom = until.Add(w.span) }
 }
@@ -87,8 +88,8 @@
 func (w *Window) Limit(now rrunit.Instant) float64 {
 	share, slack := w.share, usedSlackShare*w.slack
 	if now < w.fullFrom {
-		share *= 1 - float64(w.fullFrom.Sub(now))/float64(w.span)
-		slack = (1 - usedSlackShare) * w.slack
+		grown := 1 - float64(w.fullFrom.Sub(now))/float64(w.span)
+		share, slack = 0, (1-usedSlackShare)*w.slack*grown
 	}
 	return math.Floor(share*w.ownLowerBound(now) + slack + w.roundingOffset)
 }
--- a/internal/policy/rrbudget/window_test.go
+++ b/internal/policy/rrbudget/window_test.go
@@ -222,3 +222,39 @@
 		}
 	}
 }
+
+// Guards against a limit that each restart renews although everything was used just before:
+// after a quiet time more second attempts are wanted than are allowed, and daemons start again
+// within the next second, all at once, one after another, or several times.
+func TestRestartsAfterTheLimitWasUsedStayWithinIt(t *testing.T) {
+	const share, slack, perSecond = 0.2, 60, 200
+	const wantedFrom, firstRestart, pause = 24 * time.Second, 25 * time.Second, 3 * time.Second
+	for name, c := range map[string]struct {
+		// rounds is how often each daemon starts again, with a pause in between, and spread
+		// the time from the first daemon's start to the last one's.
+		rounds int
+		spread time.Duration
+	}{
+		"once":              {1, 0},
+		"three times":       {3, 0},
+		"one after another": {1, 9 * time.Second},
+	} {
+		for _, daemons := range []int{1, 9, 60} {
+			f := newFleet(11, daemons, share, slack)
+			restarted := make([]int, daemons)
+			for now := at(0); now < at(60*time.Second); now = now.Add(time.Second / perSecond) {
+				for i := range f.daemons {
+					due := at(firstRestart + time.Duration(restarted[i])*pause + c.spread*time.Duration(i)/time.Duration(daemons))
+					if restarted[i] < c.rounds && now >= due {
+						restarted[i]++
+						f.daemons[i] = rrbudget.NewWindow(span, share, slack/float64(daemons), f.rng.Float64(), rrbudget.WithPredecessor(now))
+					}
+				}
+				f.serve(now, f.rng.IntN(daemons), now >= at(wantedFrom), 0)
+			}
+			must.LessEq(t, 0, f.worstExcess(share, slack), must.Sprintf("%s, %d daemons", name, daemons))
+			used := float64(count(f.extra, at(50*time.Second), at(60*time.Second)))
+			must.GreaterEq(t, minUsedShare*share*perSecond*span.Seconds(), used, must.Sprint("the limit stays unused after the restarts"))
+		}
+	}
+}
--- a/internal/test/rrplatform/fleet_test.go
+++ b/internal/test/rrplatform/fleet_test.go
@@ -159,13 +159,20 @@
 func (f *fleet) startUnready(name, zone string, seeds ...netip.AddrPort) *daemon {
 	f.t.Helper()
 	d := f.newDaemon(name, zone, seeds...)
+	d.settings.ColdStart = len(seeds) == 0
 	f.run(d)
 	return d
 }
 
-// run runs a daemon until the test ends or the daemon is stopped.
+// run runs a daemon until the test ends or the daemon is stopped. Only the first process of an
+// instance may start with the whole system.
 func (f *fleet) run(d *daemon) {
 	f.t.Helper()
+	if slices.ContainsFunc(f.daemons, func(other *daemon) bool { return other.settings.Instance == d.settings.Instance }) {
+		settings := *d.settings
+		settings.ColdStart = false
+		d.settings = &settings
+	}
 	d.started = time.Now()
 	n, closeAll := f.node(d)
 	ctx, stop := context.WithCancel(context.Background())
