Forget daemons that are gone for good

Cause: names taken for those who are there. The same in the other direction: a daemon that has not registered yet, that was cut off, or that the store's old copy lacks, used a whole share beside those who did not count it.

policy/rrpresence decides who is there. The first reader that is there asks those that are silent, marks them as doubted in the store after 10 s, and removes them if nobody has objected for 14 s. Each call names the revision that was judged.

--- a/internal/app/rrdispatchers/preconnect.go
+++ b/internal/app/rrdispatchers/preconnect.go
@@ -33,7 +33,7 @@
 
 // targetsOf returns the targets of the service by process id.
 func (p *Dispatchers) targetsOf(name rrunit.ServiceName, c *rrcatalog.Catalog) map[rrunit.SearcherID]target {
-	cfg := rrconnpool.Config{Self: p.settings.Load().Instance, DaemonCount: len(c.Instances)}
+	cfg := rrconnpool.Config{Self: p.settings.Load().Instance, DaemonCount: c.Sharers}
 	isShard := false
 	if c.Table != nil {
 		if s := c.Table.Service(name); s != nil {
--- a/internal/app/rrdispatchers/rrdispatchers.go
+++ b/internal/app/rrdispatchers/rrdispatchers.go
@@ -314,16 +314,16 @@
 // maxQueuedPerRank is the maximum number of queued requests of one rank at one service.
 const maxQueuedPerRank = 256
 
-// assumedDaemons is how many daemons are assumed to share the searchers while the
-// list of instances is empty.
+// assumedDaemons is how many daemons are assumed to share the searchers while that is
+// unknown.
 const assumedDaemons = 32
 
 // countDaemons returns how many daemons share the searchers.
 func countDaemons(c *rrcatalog.Catalog) int {
-	if len(c.Instances) == 0 {
+	if c.Sharers == 0 {
 		return assumedDaemons
 	}
-	return len(c.Instances)
+	return c.Sharers
 }
 
 // quotaPhase returns the phase of this daemon's shares of searchers' request limits, by
@@ -352,7 +352,7 @@
 		ExtraShare:         bounds.ExtraShare,
 		ExtraWindow:        rrunit.Duration(bounds.ExtraWindow),
 		ExtraSlack:         float64(bounds.ExtraSlack) / float64(daemons),
-		HasPredecessor:     !p.settings.Load().ColdStart,
+		IsHeldBack:         c.IsHeldBack,
 		ChargeRefused:      true,
 		ServiceTimes:       p.serviceTimes,
 		ReportStatus:       true,
--- a/internal/app/rrfollow/evidence.go
+++ b/internal/app/rrfollow/evidence.go
@@ -69,6 +69,7 @@
 
 // ReceiveEvidence receives the evidence of another daemon.
 func (f *Follower) ReceiveEvidence(_ context.Context, e *rrpeer.Evidence) (*rrpeer.EvidenceReply, error) {
+	f.recordHeard(e.From)
 	f.cfg.MergeEvidence(e.Searchers)
 	return &rrpeer.EvidenceReply{}, nil
 }
--- a/internal/app/rrfollow/peers.go
+++ b/internal/app/rrfollow/peers.go
@@ -78,6 +78,7 @@
 	// confirmed it.
 	isCurrent := response.Confirmed && response.Era >= f.era
 	f.core.RecordPeerAnswer(now, source.Address, response.Age.Std(), isCurrent)
+	f.recordAnswer(now, source.Address, response.From)
 	if response.Changes != nil {
 		f.applyChanges(response.Changes)
 	}
@@ -90,6 +91,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	request := &rrpeer.FeedRequest{
+		From:      f.cfg.Self.ID,
 		Tables:    f.tables.Revision(),
 		Searchers: f.searchers.Revision(),
 		Instances: f.instances.Revision(),
@@ -104,6 +106,7 @@
 
 // Follow serves the request of another daemon.
 func (f *Follower) Follow(ctx context.Context, request *rrpeer.FeedRequest) (*rrpeer.FeedResponse, error) {
+	f.recordHeard(request.From)
 	f.addPeerFindings(request.Findings())
 	timer := time.NewTimer(request.Wait.Std())
 	defer timer.Stop()
@@ -136,7 +139,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age, known := f.core.DataAge(f.clock())
-	response := &rrpeer.FeedResponse{Confirmed: known, Age: rrpeer.NewAge(age), Era: f.era, Changes: f.withNewerTable(f.changesSince(request), request)}
+	response := &rrpeer.FeedResponse{From: f.cfg.Self.ID, Confirmed: known, Age: rrpeer.NewAge(age), Era: f.era, Changes: f.withNewerTable(f.changesSince(request), request)}
 	has := request.Findings()
 	findings := f.findings(request.Limits(), &has)
 	response.Quarantines, response.Crashes = findings.Quarantines, findings.Crashes
--- a/internal/app/rrfollow/quarantine.go
+++ b/internal/app/rrfollow/quarantine.go
@@ -16,8 +16,8 @@
 	// readerTellInterval is how often a reader tells the other readers of crashes and of
 	// active quarantines.
 	readerTellInterval = 500 * time.Millisecond
-	// readerTellTimeout bounds one such call.
-	readerTellTimeout = 300 * time.Millisecond
+	// tellTimeout bounds a call to a daemon that does not wait for changes.
+	tellTimeout = 300 * time.Millisecond
 	// settleTime is how long other readers are asked for newer tables after a start or a
 	// restore of the store. Within it the operator's lost changes are written again.
 	settleTime = 5 * time.Second
@@ -184,27 +184,34 @@
 		}
 		var calls sync.WaitGroup
 		for _, reader := range readers {
-			calls.Go(func() { f.tellReader(ctx, reader.PeerAddress, request) })
+			calls.Go(func() {
+				if _, err := f.tell(ctx, reader.PeerAddress, request); err != nil {
+					f.cfg.Log.Failure("crashes not told", "peer", reader.PeerAddress, "err", err)
+				}
+			})
 		}
 		calls.Wait()
 	}
 }
 
-func (f *Follower) tellReader(ctx context.Context, reader netip.AddrPort, request *rrpeer.FeedRequest) {
-	ctx, cancel := context.WithTimeout(ctx, readerTellTimeout)
+// tell makes a request that does not wait for changes to another daemon, applies the response
+// and returns who sent it; empty if it does not say.
+func (f *Follower) tell(ctx context.Context, peer netip.AddrPort, request *rrpeer.FeedRequest) (rrunit.InstanceID, error) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	response, err := f.cfg.Feeds.Follow(ctx, reader, request)
+	response, err := f.cfg.Feeds.Follow(ctx, peer, request)
 	f.cfg.Metrics.Count(rrmetrics.GroupPeerCalls, outcomeLabel(err))
 	if err != nil {
-		f.cfg.Log.Failure("crashes not told", "peer", reader, "err", err)
-		return
+		return "", err
 	}
 	f.addPeerFindings(response.Findings())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recordAnswer(f.clock(), peer, response.From)
 	if response.Changes != nil {
-		f.mu.Lock()
-		defer f.mu.Unlock()
 		f.applyChanges(response.Changes)
 	}
+	return response.From, nil
 }
 
 // isSettling reports whether this daemon has started, or learned of a restore of the store,
--- a/internal/app/rrfollow/rrfollow.go
+++ b/internal/app/rrfollow/rrfollow.go
@@ -16,6 +16,7 @@
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrroute"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrexpiry"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrpresence"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrsource"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrobject"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrpeers"
@@ -35,9 +36,11 @@
 	Seeds []netip.AddrPort
 	// ColdStart is set if all daemons start for the first time, so that no caller waits yet.
 	ColdStart bool
-	Store     rrobject.Store
-	Feeds     rrpeers.FeedClient
-	Log       *rrlog.Log
+	// LimitWindow is the longest time over which limits that the daemons share are counted.
+	LimitWindow time.Duration
+	Store       rrobject.Store
+	Feeds       rrpeers.FeedClient
+	Log         *rrlog.Log
 	// Metrics counts the calls to peers and to the store.
 	Metrics *rrmetrics.GatewayMetrics
 	// Update is called with every new catalog, one at a time.
@@ -69,6 +72,7 @@
 	// mu guards the fields below and keeps updates in order.
 	mu        sync.Mutex
 	core      *rrsource.Selector
+	presence  *rrpresence.Tracker
 	expiry    *rrexpiry.Tracker
 	tables    *rrcatalog.Tables
 	searchers *rrcatalog.Searchers
@@ -104,6 +108,8 @@
 	restored chan struct{}
 	// settlingSince is when this daemon started, or last learned of a restore of the store.
 	settlingSince rrunit.Instant
+	// published is what the last catalog said of this daemon's share of limits.
+	published share
 	// lastStoreFailure is when a call to the store last failed; zero is never.
 	lastStoreFailure rrunit.Instant
 }
@@ -117,6 +123,7 @@
 		core: rrsource.New(clock(), rrsource.Config{
 			Self: cfg.Self, Seeds: cfg.Seeds, ColdStart: cfg.ColdStart, StaleAfter: staleAge,
 		}),
+		presence:     rrpresence.New(clock(), rrpresence.Config{Self: cfg.Self.ID, Window: cfg.LimitWindow, ColdStart: cfg.ColdStart}),
 		expiry:       rrexpiry.New(),
 		tables:       &rrcatalog.Tables{},
 		searchers:    &rrcatalog.Searchers{},
@@ -150,6 +157,7 @@
 	group.Go(func() { f.sendEvidence(ctx) })
 	group.Go(func() { f.tellReaders(ctx) })
 	group.Go(func() { f.keepRegistered(ctx) })
+	group.Go(func() { f.keepPresence(ctx) })
 	group.Go(func() { f.readRecord(ctx) })
 	group.Go(func() { f.recordVerdicts(ctx) })
 	if f.cfg.ColdStart {
@@ -164,6 +172,7 @@
 	for {
 		f.mu.Lock()
 		plan := f.core.Plan(f.clock())
+		f.republishShare()
 		f.mu.Unlock()
 		f.applyPlan(workers, plan)
 		if !rrunit.Sleep(ctx, planInterval) {
@@ -213,12 +222,11 @@
 	if next > 0 {
 		f.graceTimer.Reset(next.Sub(now))
 	}
-	f.cfg.Update(&rrcatalog.Catalog{Table: f.appliedTable, Searchers: searchers, Instances: f.liveInstances()})
-}
-
-// updateInstances passes the live instances to the core. The caller holds mu.
-func (f *Follower) updateInstances() {
-	f.core.SetInstances(f.liveInstances())
+	f.published = f.share(now)
+	f.cfg.Update(&rrcatalog.Catalog{
+		Table: f.appliedTable, Searchers: searchers, Instances: f.liveInstances(),
+		Sharers: f.published.sharers, IsHeldBack: f.published.isHeldBack,
+	})
 }
 
 // liveInstances returns the instances that have not been removed. The caller holds mu.
--- a/internal/app/rrfollow/state.go
+++ b/internal/app/rrfollow/state.go
@@ -16,6 +16,10 @@
 	Instances rrcatalog.Revision `json:"instances"`
 	// Age is how long ago the store last confirmed them; negative if it never did.
 	Age rrunit.Duration `json:"age"`
+	// Sharers is how many daemons share limits, and Held is set while this one leaves its share
+	// to others.
+	Sharers int  `json:"sharers"`
+	Held    bool `json:"held"`
 	// ReadsStore is set if this daemon reads the store. Sources are the daemons that it
 	// follows.
 	ReadsStore bool              `json:"reads"`
@@ -36,6 +40,8 @@
 		s.Table = f.appliedTable.Number
 	}
 	now := f.clock()
+	own := f.share(now)
+	s.Sharers, s.Held = own.sharers, own.isHeldBack
 	if age, known := f.core.DataAge(now); known {
 		s.Age = rrunit.Duration(age)
 	}
--- a/internal/app/rrfollow/store.go
+++ b/internal/app/rrfollow/store.go
@@ -51,6 +51,8 @@
 	kindSearchers storeKind = "searchers"
 	kindInstances storeKind = "instances"
 	kindRegister  storeKind = "register"
+	// kindPresence are the writes on whether other daemons are there.
+	kindPresence storeKind = "presence"
 	// kindQuarantines is read at a start alone.
 	kindQuarantines storeKind = "quarantines"
 )
@@ -64,6 +66,7 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.registeredEra = max(f.registeredEra, era)
+			f.presence.RecordRegistration()
 			return
 		}
 		sleepJittered(ctx, delay)
@@ -128,18 +131,19 @@
 	watchKind(ctx, f, kindInstances, f.cfg.Store.Instances(), watchTimes{instancesWait, instancesWatchPause}, revision, instanceChanges)
 }
 
-// keepRegistered registers this daemon again if it is missing from the instances of an era
-// in which it has not registered, until ctx ends.
+// keepRegistered registers this daemon again, until ctx ends, if another one has removed or
+// doubted it, or if it is missing from the instances of an era in which it has not registered.
 func (f *Follower) keepRegistered(ctx context.Context) {
 	for rrunit.Sleep(ctx, registrationInterval) {
 		if f.isForgotten() {
+			f.cfg.Log.StateChange("registers again")
 			f.register(ctx)
 			f.listInstances(ctx)
 		}
 	}
 }
 
-// isForgotten reports whether the store was restored from a copy without this daemon.
+// isForgotten reports whether the store no longer has this daemon, or takes it for gone.
 func (f *Follower) isForgotten() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -147,7 +151,7 @@
 	if slices.Contains(f.liveInstances(), f.cfg.Self) {
 		f.registeredEra = max(f.registeredEra, era)
 	}
-	return f.registeredEra > 0 && era > f.registeredEra
+	return f.presence.IsMissing() || f.registeredEra > 0 && era > f.registeredEra
 }
 
 // listOnce lists tables and searchers immediately, so that a daemon that starts while
--- a/internal/app/rrmetrics/gateway.go
+++ b/internal/app/rrmetrics/gateway.go
@@ -42,6 +42,9 @@
 	GroupConnections Group = "connections"
 	// GroupPreconnects counts connections that were opened in advance, by success.
 	GroupPreconnects Group = "ready"
+	// GroupPresence counts what became of other daemons in the store's record: doubted,
+	// heard again, removed, or changed by another daemon meanwhile.
+	GroupPresence Group = "presence"
 	// GroupStore counts calls to the store by kind and success.
 	GroupStore Group = "store"
 	// GroupPeerCalls counts calls to other daemons for updates, by success.
@@ -96,7 +99,7 @@
 		latencies: make(map[Group]map[string]*latencyWindow),
 	}
 	for _, g := range []Group{
-		GroupRequests, GroupDegraded, GroupAttempts, GroupExtraAttempts, GroupConnections, GroupPreconnects, GroupStore, GroupPeerCalls, GroupEvidence, GroupUnreadableLoads, GroupLimited, GroupPauses, GroupCrashChecks, GroupOrphanChecks, GroupQuarantines, GroupErrors, GroupSearcherStatus,
+		GroupRequests, GroupDegraded, GroupAttempts, GroupExtraAttempts, GroupConnections, GroupPreconnects, GroupStore, GroupPresence, GroupPeerCalls, GroupEvidence, GroupUnreadableLoads, GroupLimited, GroupPauses, GroupCrashChecks, GroupOrphanChecks, GroupQuarantines, GroupErrors, GroupSearcherStatus,
 		GroupPeerBytes, GroupPeerConnections,
 	} {
 		m.groups[g] = new(expvar.Map)
--- a/internal/domain/rrcatalog/rrcatalog.go
+++ b/internal/domain/rrcatalog/rrcatalog.go
@@ -83,6 +83,9 @@
 	Region rrunit.Region     `json:"region"`
 	// PeerAddress is the address that other daemons connect to.
 	PeerAddress netip.AddrPort `json:"peers"`
+	// Doubted is set by another daemon that takes this one for gone. Who hears the daemon
+	// takes the mark away.
+	Doubted bool `json:"doubted,omitempty"`
 }
 
 // Check returns an error that names the first invalid field.
@@ -117,6 +120,11 @@
 	// Searchers are the usable searchers and those that have just started to
 	// drain, by service, in no particular order.
 	Searchers map[rrunit.ServiceName][]Searcher
-	// Instances are the daemons that share the searchers, including this one.
+	// Instances are the daemons that are registered, including this one.
 	Instances []Instance
+	// Sharers is how many daemons share limits; zero while that is unknown.
+	Sharers int
+	// IsHeldBack is set while this daemon must leave limits to others: they may use its share,
+	// or a process before it has used it.
+	IsHeldBack bool
 }
--- a/internal/domain/rrpeer/feed.go
+++ b/internal/domain/rrpeer/feed.go
@@ -30,6 +30,8 @@
 	MoreCrashes     []Crash      `json:"morecrashes,omitempty"`
 	// KeepsMore is set if the requester keeps more findings than earlier versions.
 	KeepsMore bool `json:"keepsmore,omitempty"`
+	// From is the requester; empty for one that does not say.
+	From rrunit.InstanceID `json:"from,omitempty"`
 	// Wait is how long to wait for changes.
 	Wait rrunit.Duration `json:"wait"`
 	// Delay is how long to delay changes that the requester may receive from others.
@@ -53,6 +55,8 @@
 
 // FeedResponse holds the platform changes after the revisions of a FeedRequest.
 type FeedResponse struct {
+	// From is the sender; empty for one that does not say.
+	From rrunit.InstanceID `json:"from,omitempty"`
 	// Confirmed is true if the platform's store ever confirmed the sender's state;
 	// Age is the time since it last did.
 	Confirmed bool `json:"known"`
--- a/internal/policy/rrbudget/window.go
+++ b/internal/policy/rrbudget/window.go
@@ -30,31 +30,28 @@
 	// roundingOffset, from 0 to 1, is added to the limit before it is rounded down,
 	// so that many daemons with random offsets together use all of it.
 	roundingOffset float64
-	// fullFrom is the instant from which the whole limit may be used.
-	fullFrom rrunit.Instant
-}
-
-// WindowOption configures a Window.
-type WindowOption func(*Window)
-
-// WithPredecessor makes the window allow for another process that worked in its place until
-// the instant, and may have used up its limit just before: for one span there is only what that
-// process left unused of the slack. That grows from nothing, as the process may itself have been
-// started within the span, and so on.
-func WithPredecessor(until rrunit.Instant) WindowOption {
-	return func(w *Window) { w.fullFrom = until.Add(w.span) }
+	// isHeld is set while the limit is held back, since heldSince.
+	isHeld    bool
+	heldSince rrunit.Instant
 }
 
 // NewWindow returns an unused window. roundingOffset is a random number from 0 to 1.
-func NewWindow(span time.Duration, share rrunit.Share, slack, roundingOffset float64, opts ...WindowOption) *Window {
-	w := &Window{
+func NewWindow(span time.Duration, share rrunit.Share, slack, roundingOffset float64) *Window {
+	return &Window{
 		span: span, share: float64(share), slack: slack, roundingOffset: roundingOffset,
 		own: newCounter(span/spanParts, spanParts), extra: newCounter((span+maxArrivalDelay)/spanParts, spanParts+1),
 	}
-	for _, opt := range opts {
-		opt(w)
+}
+
+// SetHeld sets whether the limit is held back, as others may have used it up: a process that
+// worked in the place of this one, or those that share it. There is only what they left unused
+// of the slack. That grows from nothing within a span, as a process may be started again before
+// its end.
+func (w *Window) SetHeld(now rrunit.Instant, isHeld bool) {
+	if isHeld && !w.isHeld {
+		w.heldSince = now
 	}
-	return w
+	w.isHeld = isHeld
 }
 
 // SetBounds changes the limit. Extra work that was started stays counted.
@@ -87,8 +84,8 @@
 // Limit returns the limit of extra work in the span that ends now.
 func (w *Window) Limit(now rrunit.Instant) float64 {
 	share, slack := w.share, usedSlackShare*w.slack
-	if now < w.fullFrom {
-		grown := 1 - float64(w.fullFrom.Sub(now))/float64(w.span)
+	if w.isHeld {
+		grown := min(1, float64(now.Sub(w.heldSince))/float64(w.span))
 		share, slack = 0, (1-usedSlackShare)*w.slack*grown
 	}
 	return math.Floor(share*w.ownLowerBound(now) + slack + w.roundingOffset)
--- a/internal/policy/rrbudget/window_test.go
+++ b/internal/policy/rrbudget/window_test.go
@@ -19,13 +19,15 @@
 // fleet simulates daemons that serve requests and start second attempts whenever the
 // limit allows.
 type fleet struct {
-	daemons    []*rrbudget.Window
+	daemons []*rrbudget.Window
+	// heldUntil has, by daemon, when a restarted one may use its limit again.
+	heldUntil  map[int]rrunit.Instant
 	rng        *rand.Rand
 	own, extra []rrunit.Instant
 }
 
 func newFleet(seed uint64, daemons int, share rrunit.Share, slack float64) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1))}
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), heldUntil: make(map[int]rrunit.Instant)}
 	for range daemons {
 		f.daemons = append(f.daemons, f.daemon(daemons, share, slack))
 	}
@@ -36,9 +38,20 @@
 	return rrbudget.NewWindow(span, share, slack/float64(daemons), f.rng.Float64())
 }
 
+// restart replaces a daemon by one that does not know what the one before has used.
+func (f *fleet) restart(now rrunit.Instant, i int, share rrunit.Share, slack float64) {
+	f.daemons[i] = f.daemon(len(f.daemons), share, slack)
+	f.daemons[i].SetHeld(now, true)
+	f.heldUntil[i] = now.Add(span)
+}
+
 // serve lets a daemon serve a request and, if wanted, start all second attempts that
 // its window allows. They arrive up to the delay later.
 func (f *fleet) serve(now rrunit.Instant, daemon int, wanted bool, delay time.Duration) {
+	if until, ok := f.heldUntil[daemon]; ok && now >= until {
+		f.daemons[daemon].SetHeld(now, false)
+		delete(f.heldUntil, daemon)
+	}
 	f.daemons[daemon].Earn(now)
 	f.own = append(f.own, now)
 	for wanted && f.daemons[daemon].Spend(now, 0) {
@@ -207,7 +220,7 @@
 				if len(left) > 0 && now >= at(left[0]) {
 					left = left[1:]
 					for i := range f.daemons {
-						f.daemons[i] = rrbudget.NewWindow(span, share, slack/float64(daemons), f.rng.Float64(), rrbudget.WithPredecessor(now))
+						f.restart(now, i, share, slack)
 					}
 				}
 				d := f.rng.IntN(daemons)
@@ -247,7 +260,7 @@
 					due := at(firstRestart + time.Duration(restarted[i])*pause + c.spread*time.Duration(i)/time.Duration(daemons))
 					if restarted[i] < c.rounds && now >= due {
 						restarted[i]++
-						f.daemons[i] = rrbudget.NewWindow(span, share, slack/float64(daemons), f.rng.Float64(), rrbudget.WithPredecessor(now))
+						f.restart(now, i, share, slack)
 					}
 				}
 				f.serve(now, f.rng.IntN(daemons), now >= at(wantedFrom), 0)
--- a/internal/policy/rrdispatch/configure.go
+++ b/internal/policy/rrdispatch/configure.go
@@ -29,6 +29,7 @@
 func (s *Shard) configureBudget() {
 	s.budget.SetShare(s.cfg.ExtraShare)
 	s.sharedBudget.SetBounds(s.cfg.ExtraShare, s.cfg.ExtraSlack)
+	s.sharedBudget.SetHeld(s.now, s.cfg.IsHeldBack)
 }
 
 func (s *Shard) configureRanks() {
--- a/internal/policy/rrdispatch/rrdispatch.go
+++ b/internal/policy/rrdispatch/rrdispatch.go
@@ -69,9 +69,8 @@
 	// requests that they allow beside ExtraShare. Both need ServiceTimes.
 	ExtraWindow rrunit.Duration
 	ExtraSlack  float64
-	// HasPredecessor is set if another process may have started extra requests in place of
-	// this one until the clock's instant zero. It is not changed by Configure.
-	HasPredecessor bool
+	// IsHeldBack is set while others may have used this daemon's part of the extra requests.
+	IsHeldBack bool
 	// ChargeRefused charges refused attempts to the budget too, for operators that
 	// count every request that reaches their searchers.
 	ChargeRefused bool
--- a/internal/policy/rrdispatch/shard.go
+++ b/internal/policy/rrdispatch/shard.go
@@ -89,11 +89,7 @@
 		budget:   rrbudget.NewBucket(cfg.ExtraShare, extraBurst, extraOverdraft),
 		suspects: cfg.Suspects,
 	}
-	var opts []rrbudget.WindowOption
-	if cfg.HasPredecessor {
-		opts = append(opts, rrbudget.WithPredecessor(0))
-	}
-	s.sharedBudget = rrbudget.NewWindow(cfg.ExtraWindow.Std(), cfg.ExtraShare, cfg.ExtraSlack, roundingFraction(cfg.Seed), opts...)
+	s.sharedBudget = rrbudget.NewWindow(cfg.ExtraWindow.Std(), cfg.ExtraShare, cfg.ExtraSlack, roundingFraction(cfg.Seed))
 	if s.suspects == nil {
 		s.suspects = rrquarantine.New(cfg.QuarantineDuration)
 	}
--- a/internal/policy/rrsource/rrsource.go
+++ b/internal/policy/rrsource/rrsource.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -143,12 +144,23 @@
 // SetInstances sets the known daemons.
 func (c *Selector) SetInstances(instances []rrcatalog.Instance) {
 	c.ranked = slices.Clone(instances)
-	slices.SortFunc(c.ranked, func(a, b rrcatalog.Instance) int {
-		return cmp.Or(cmp.Compare(rankingHash(a.ID), rankingHash(b.ID)), cmp.Compare(a.ID, b.ID))
-	})
+	slices.SortFunc(c.ranked, func(a, b rrcatalog.Instance) int { return CompareRank(a.ID, b.ID) })
+	known := make(map[netip.AddrPort]bool, len(instances)+len(c.cfg.Seeds))
+	for _, i := range instances {
+		known[i.PeerAddress] = true
+	}
+	for _, s := range c.cfg.Seeds {
+		known[s] = true
+	}
+	maps.DeleteFunc(c.peers, func(at netip.AddrPort, _ *peer) bool { return !known[at] })
 	c.updateReaders()
 }
 
+// CompareRank orders daemons as they become readers.
+func CompareRank(a, b rrunit.InstanceID) int {
+	return cmp.Or(cmp.Compare(rankingHash(a), rankingHash(b)), cmp.Compare(a, b))
+}
+
 // updateReaders chooses the readers among the daemons that are not gone.
 func (c *Selector) updateReaders() {
 	c.readers = chooseReaders(slices.DeleteFunc(slices.Clone(c.ranked), c.isGone))
--- a/internal/port/rrobject/rrobject.go
+++ b/internal/port/rrobject/rrobject.go
@@ -16,6 +16,9 @@
 // the objects must be listed again.
 var ErrCompacted = errors.New("the store has dropped the changes since that revision")
 
+// ErrConflict means that the object has changed since the given revision, or is gone.
+var ErrConflict = errors.New("the object has changed since that revision")
+
 // InvalidObject is an object without a usable value.
 type InvalidObject struct {
 	Name string
@@ -50,6 +53,11 @@
 	// Register adds the daemon to the instances and returns the store's era. It may have
 	// taken effect even if it returns an error; it is idempotent.
 	Register(ctx context.Context, i rrcatalog.Instance) (rrcatalog.Era, error)
+	// ReplaceInstance replaces the object of a daemon, and RemoveInstance removes it, both only
+	// if its revision is still the given one; otherwise the error is ErrConflict. Both may have
+	// taken effect even if they return another error.
+	ReplaceInstance(ctx context.Context, i rrcatalog.Instance, at rrcatalog.Revision) error
+	RemoveInstance(ctx context.Context, id rrunit.InstanceID, at rrcatalog.Revision) error
 	// PutQuarantine records a quarantine and returns the store's era. DeleteQuarantine removes
 	// it if it is there. Both may have taken effect even if they return an error.
 	PutQuarantine(ctx context.Context, name rrcatalog.QuarantineName, q rrcatalog.Quarantine) (rrcatalog.Era, error)
--- a/internal/test/rrplatform/crash_orphan_test.go
+++ b/internal/test/rrplatform/crash_orphan_test.go
@@ -22,7 +22,7 @@
 			}
 			t.Run(fmt.Sprint(delay, strings.TrimSuffix(path, "/")), func(t *testing.T) {
 				t.Parallel()
-				f := newFleet(t)
+				f := newColdFleet(t)
 				f.minCrashDelay, f.maxCrashDelay = delay, delay
 				log := f.addCrashing(4, crashCloses, 500*time.Millisecond, "s0", "s1", "s2", "one")
 				daemons := f.startDaemons("a", "b", "a")
@@ -48,7 +48,7 @@
 // that crashes searchers beside them, but not quarantined in its place.
 func TestImpatientCallersAreNotQuarantined(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
+	f := newColdFleet(t)
 	f.minCrashDelay, f.maxCrashDelay = 50*time.Millisecond, 50*time.Millisecond
 	log := &crashLog{}
 	for range 6 {
--- a/internal/test/rrplatform/crash_scale_test.go
+++ b/internal/test/rrplatform/crash_scale_test.go
@@ -52,7 +52,7 @@
 // when they begin to run a crashing request and start again after the time given.
 func crashingShards(t *testing.T, restart time.Duration) (*fleet, *crashLog) {
 	t.Helper()
-	f := newFleet(t)
+	f := newColdFleet(t)
 	return f, f.addCrashing(2, crashResets, restart, "s0", "s1", "s2")
 }
 
--- a/internal/test/rrplatform/crash_test.go
+++ b/internal/test/rrplatform/crash_test.go
@@ -207,7 +207,7 @@
 		for _, mode := range []crashMode{crashCloses, crashResets, crashBreaksOff} {
 			t.Run(strings.Trim(path, "/")+" "+string(mode), func(t *testing.T) {
 				t.Parallel()
-				f := newFleet(t)
+				f := newColdFleet(t)
 				log := f.addCrashing(2, mode, 1500*time.Millisecond, "s0", "s1", "s2", "one")
 				daemons := f.startDaemons("a", "b", "a", "b")
 				stopLoad := f.load(daemons, path)
@@ -227,7 +227,7 @@
 func TestRetryLeavesBeforeTheCrashIsFound(t *testing.T) {
 	for _, mode := range []crashMode{crashCloses, crashResets} {
 		t.Run(string(mode), func(t *testing.T) {
-			f := newFleet(t)
+			f := newColdFleet(t)
 			log := &crashLog{}
 			for range 2 {
 				f.addSearcher("one", "a")
@@ -252,7 +252,7 @@
 // run a crashing request, and the log of these crashes.
 func crashingFleet(t *testing.T) (*fleet, *crashLog) {
 	t.Helper()
-	f := newFleet(t)
+	f := newColdFleet(t)
 	log := &crashLog{}
 	for range 4 {
 		f.addSearcher("one", "a")
--- a/internal/test/rrplatform/evidence_test.go
+++ b/internal/test/rrplatform/evidence_test.go
@@ -37,7 +37,7 @@
 // other daemons of its zone, though they sent the searcher no failing requests. It
 // does not share it with other zones, where the searcher may be healthy.
 func TestEvidenceWithinAZone(t *testing.T) {
-	f := newFleet(t)
+	f := newColdFleet(t)
 	observer, sameZone, otherZone := f.start("met", "a"), f.start("near", "a"), f.start("far", "b")
 	time.Sleep(1500 * time.Millisecond) // until the instance list is read again
 	for _, d := range []*daemon{observer, sameZone, otherZone} {
--- a/internal/test/rrplatform/fleet_test.go
+++ b/internal/test/rrplatform/fleet_test.go
@@ -37,6 +37,9 @@
 	searchers    map[string]*standin.Searcher
 	daemons      []*daemon
 	tableVersion int
+	// isColdStart is set if the daemons start with the whole system, so that they have their
+	// whole budgets at once.
+	isColdStart bool
 	// extraServices are services in the routing table beside the standard ones.
 	extraServices []string
 	// minCrashDelay and maxCrashDelay are how long searchers run a crashing request before
@@ -59,6 +62,14 @@
 
 const shardCount = 3
 
+// newColdFleet returns a fleet whose daemons start with the whole system.
+func newColdFleet(t testing.TB) *fleet {
+	t.Helper()
+	f := newFleet(t)
+	f.isColdStart = true
+	return f
+}
+
 // newFleet starts a store and searchers. The services s0 to s2 are the shards of
 // the route /all/. The service one has the routes /one/ (idempotent) and /once/
 // (non-idempotent).
@@ -159,7 +170,7 @@
 func (f *fleet) startUnready(name, zone string, seeds ...netip.AddrPort) *daemon {
 	f.t.Helper()
 	d := f.newDaemon(name, zone, seeds...)
-	d.settings.ColdStart = len(seeds) == 0
+	d.settings.ColdStart = f.isColdStart
 	f.run(d)
 	return d
 }
@@ -242,12 +253,18 @@
 
 func (f *fleet) eventually(what string, ok func() bool) {
 	f.t.Helper()
-	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+	f.eventuallyWithin(8*time.Second, what, ok)
+}
+
+// eventuallyWithin is eventually for conditions that take longer.
+func (f *fleet) eventuallyWithin(limit time.Duration, what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if ok() {
 			return
 		}
 	}
-	f.t.Fatalf("condition not met within 8 s: %s", what)
+	f.t.Fatalf("condition not met within %s: %s", limit, what)
 }
 
 // answer is the answer or error that a caller received.
--- a/internal/test/rrplatform/request_test.go
+++ b/internal/test/rrplatform/request_test.go
@@ -238,7 +238,7 @@
 // observe whether its searcher recovers. When the caller disconnects, it is cancelled
 // immediately.
 func TestCallerDisconnectsDuringDelayedCancel(t *testing.T) {
-	f := newFleet(t)
+	f := newColdFleet(t)
 	d := f.start("d1", "a")
 	var open, secondAttempts atomic.Int64
 	for _, s := range f.searchers {
@@ -265,7 +265,7 @@
 // While some searchers are slow and some answers are lost, every answer belongs to its
 // request and holds the records of the shards that it lists.
 func TestAnswersMatchRequests(t *testing.T) {
-	f := newFleet(t)
+	f := newColdFleet(t)
 	d := f.start("d1", "a")
 	for _, s := range f.searchers {
 		s.SetInterceptor(func(n int, _ http.ResponseWriter, _ *http.Request) bool {
