Take over recorded quarantines of daemons that are gone

Who reads the record takes over the entries of daemons that are not registered: at its start, and the judge 10 s after it has removed a daemon. Removing an entry twice does no harm.

rrfollow TestRecordsOfGoneDaemonsAreTakenOver fails without the condition (the ended entry of a daemon that is gone is not due to be removed).

--- a/internal/app/rrfollow/presence.go
+++ b/internal/app/rrfollow/presence.go
@@ -19,6 +19,9 @@
 const (
 	// presenceInterval is how often it is decided which daemons are there.
 	presenceInterval = 500 * time.Millisecond
+	// takeOverDelay is how long after the last removal of a daemon the record of quarantines
+	// is read. The store's cached answers are some seconds old.
+	takeOverDelay = 10 * time.Second
 )
 
 // share is this daemon's share of the limits that the daemons share.
@@ -101,6 +104,29 @@
 			err := f.cfg.Store.RemoveInstance(ctx, m.ID, m.Revision)
 			f.recordPresence(ctx, "removed", m, err)
 		}
+		f.takeOver(ctx, len(actions.Remove) > 0)
+	}
+}
+
+// takeOver reads the record of quarantines once the daemons that were removed are known to be,
+// as nobody else removes theirs.
+func (f *Follower) takeOver(ctx context.Context, hasRemoved bool) {
+	f.mu.Lock()
+	now := f.clock()
+	if hasRemoved {
+		f.takeOverAt = now.Add(takeOverDelay)
+	}
+	isDue := f.takeOverAt > 0 && now >= f.takeOverAt
+	f.mu.Unlock()
+	if !isDue {
+		return
+	}
+	isDone := f.readRecordOnce(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.takeOverAt = 0
+	if !isDone {
+		f.takeOverAt = f.clock().Add(takeOverDelay)
 	}
 }
 
--- a/internal/app/rrfollow/record.go
+++ b/internal/app/rrfollow/record.go
@@ -97,23 +97,33 @@
 // daemon left that knows of them.
 func (f *Follower) readRecord(ctx context.Context) {
 	for delay := minRetryDelay; ctx.Err() == nil; delay = min(2*delay, maxRetryDelay) {
-		started := f.clock()
-		changes, err := f.cfg.Store.Quarantines().ListCached(ctx)
-		if f.recordStoreCall(ctx, started, kindQuarantines, err) {
-			for _, d := range changes.Invalid {
-				f.cfg.Log.Failure("object not taken", "kind", kindQuarantines, "name", d.Name, "err", d.Err)
-			}
-			f.takeRecord(changes.Delta.Entries)
+		if f.readRecordOnce(ctx) {
 			return
 		}
 		sleepJittered(ctx, delay)
 	}
 }
 
+func (f *Follower) readRecordOnce(ctx context.Context) bool {
+	started := f.clock()
+	changes, err := f.cfg.Store.Quarantines().ListCached(ctx)
+	if !f.recordStoreCall(ctx, started, kindQuarantines, err) {
+		return false
+	}
+	for _, d := range changes.Invalid {
+		f.cfg.Log.Failure("object not taken", "kind", kindQuarantines, "name", d.Name, "err", d.Err)
+	}
+	f.takeRecord(changes.Delta.Entries)
+	return true
+}
+
 // takeRecord applies recorded quarantines, and takes over the removal of those that this
-// daemon decided on before it was restarted.
+// daemon decided on before it was restarted, or that a daemon decided on that is not there.
 func (f *Follower) takeRecord(entries map[rrcatalog.QuarantineName]rrcatalog.Entry[rrcatalog.Quarantine]) {
 	active, now := 0, time.Now()
+	f.mu.Lock()
+	registered := f.instances
+	f.mu.Unlock()
 	for name, e := range entries {
 		if e.Value == nil {
 			continue
@@ -124,7 +134,7 @@
 			continue
 		}
 		q := rrpeer.Quarantine{Fingerprint: fingerprint, TimeLeft: e.Value.Left(now)}
-		if e.Value.By == f.cfg.Self.ID {
+		if e.Value.By == f.cfg.Self.ID || registered.Revision() > 0 && !registered.Has(e.Value.By) {
 			f.adoptVerdict(q, e.Revision.Era())
 		}
 		if q.TimeLeft <= 0 {
--- a/internal/app/rrfollow/record_test.go
+++ b/internal/app/rrfollow/record_test.go
@@ -99,6 +99,25 @@
 	has(0)
 }
 
+// Guards against records that stay for ever: the daemon that decided on a quarantine is gone for
+// good before its end.
+func TestRecordsOfGoneDaemonsAreTakenOver(t *testing.T) {
+	f := newRecordingFollower(t, nil)
+	revision, err := rrcatalog.NewRevision(1, 5)
+	must.NoError(t, err)
+	instance := func(id rrunit.InstanceID) rrcatalog.Entry[rrcatalog.Instance] {
+		return rrcatalog.Entry[rrcatalog.Instance]{Revision: revision, Value: &rrcatalog.Instance{ID: id}}
+	}
+	f.instances = f.instances.With(rrcatalog.Delta[rrunit.InstanceID, rrcatalog.Instance]{
+		Revision: revision, Full: true, Entries: map[rrunit.InstanceID]rrcatalog.Entry[rrcatalog.Instance]{"d1": instance("d1"), "d2": instance("d2")},
+	})
+	entry := func(by rrunit.InstanceID) rrcatalog.Entry[rrcatalog.Quarantine] {
+		return rrcatalog.Entry[rrcatalog.Quarantine]{Revision: revision, Value: &rrcatalog.Quarantine{By: by, Until: time.Now().Add(-time.Minute).UnixMilli()}}
+	}
+	f.takeRecord(map[rrcatalog.QuarantineName]rrcatalog.Entry[rrcatalog.Quarantine]{"2": entry("d2"), "3": entry("gone")})
+	must.Eq(t, []rrunit.Fingerprint{3}, f.dueVerdicts())
+}
+
 // A daemon applies the quarantines that others have recorded, and takes over the removal of
 // its own.
 func TestRecordedQuarantinesAreTaken(t *testing.T) {
--- a/internal/app/rrfollow/rrfollow.go
+++ b/internal/app/rrfollow/rrfollow.go
@@ -100,6 +100,8 @@
 	// verdicts are this daemon's own quarantines that are, or are to be, recorded in the
 	// store; those of before its last start too.
 	verdicts map[rrunit.Fingerprint]verdict
+	// takeOverAt is when the record of quarantines is to be read again; zero is never.
+	takeOverAt rrunit.Instant
 	// era is the store's latest era that this daemon knows of; zero before the first.
 	era rrcatalog.Era
 	// registeredEra is the latest era in which this daemon registered, or was listed.
--- a/internal/domain/rrcatalog/set.go
+++ b/internal/domain/rrcatalog/set.go
@@ -73,6 +73,12 @@
 	}
 }
 
+// Has reports whether there is an object of the name that is not removed.
+func (s *Set[K, V]) Has(name K) bool {
+	e, ok := s.entries[name]
+	return ok && !e.Removed
+}
+
 // With returns the set after the delta. It returns the set itself if the delta is
 // not newer.
 func (s *Set[K, V]) With(d Delta[K, V]) *Set[K, V] {
