Replace daemons for good in the soak

Draws, in a stream of its own, kills after which a daemon of another name runs at the same addresses. Budgets and limits are checked across them as across restarts. The first daemons of a run start with the whole system, as on a platform; those after them do not.

--- a/internal/soak/rrplan/rrplan.go
+++ b/internal/soak/rrplan/rrplan.go
@@ -26,6 +26,9 @@
 	DaemonPause Kind = "daemon-pause"
 	// DaemonReload changes a daemon's settings file and signals it to reload.
 	DaemonReload Kind = "daemon-reload"
+	// DaemonReplace kills a daemon for good, and starts one of another name at its addresses
+	// after the event's duration.
+	DaemonReplace Kind = "daemon-replace"
 	// ReadersKill kills the daemons that read the store. Before they start again, a searcher
 	// is removed from the store without a word, and goes on serving until it is replaced.
 	ReadersKill Kind = "readers-kill"
@@ -176,6 +179,7 @@
 	{stream: 4, kind: RequestCrash, meanInterval: 8 * time.Second, duration: 14 * time.Second},
 	{stream: 5, kind: SearcherLeaves, meanInterval: 5 * time.Second, duration: 10 * time.Second},
 	{stream: 6, kind: SearcherAsksPause, meanInterval: 2 * time.Second},
+	{stream: 7, kind: DaemonReplace, meanInterval: 10 * time.Second},
 }
 
 // New generates the plan of a run of the given duration.
@@ -229,7 +233,7 @@
 // drawTarget draws the target of an event of known kind, and what else the kind has.
 func (e *Event) drawTarget(r *rand.Rand, targets Targets) {
 	switch e.Kind {
-	case DaemonStop, DaemonKill, DaemonPause, DaemonReload:
+	case DaemonStop, DaemonKill, DaemonPause, DaemonReload, DaemonReplace:
 		e.Target = pick(r, targets.Daemons)
 	case SearcherKill, SearcherPause, SearcherDrain, SearcherLimit, SearcherLeaves, SearcherAsksPause, ReadersKill, StoreExpireEntries:
 		e.Target = pick(r, targets.Searchers)
--- a/internal/soak/rrsoak/fleet.go
+++ b/internal/soak/rrsoak/fleet.go
@@ -119,6 +119,8 @@
 	// mu is held while the process is replaced.
 	mu      sync.Mutex
 	process *process
+	// replacements counts the instances that were replaced for good by another one.
+	replacements int
 	// generation counts the processes so far; searcherID is the registered name of
 	// a searcher's current process.
 	generation int
@@ -425,6 +427,14 @@
 	return err
 }
 
+// instance returns the name under which a daemon registers.
+func (n *node) instance() string {
+	if n.replacements == 0 {
+		return n.name
+	}
+	return fmt.Sprintf("%s-%d", n.name, n.replacements)
+}
+
 func (f *fleet) settingsPath(n *node) string { return filepath.Join(f.cfg.Dir, n.name+".toml") }
 
 // writeSettings writes a daemon's settings file. The seeds are other daemons in
@@ -438,7 +448,7 @@
 	}
 	const maxSeeds = 3
 	settings := standin.Settings{
-		Instance: n.name, Zone: n.zone, Seeds: seeds[:min(len(seeds), maxSeeds)], Callers: n.listenAddress[rrplan.LinkCallers],
+		Instance: n.instance(), Bootstrap: n.generation == 0, Zone: n.zone, Seeds: seeds[:min(len(seeds), maxSeeds)], Callers: n.listenAddress[rrplan.LinkCallers],
 		Readiness: n.readinessAddress, Peers: n.listenAddress[rrplan.LinkPeers], Store: n.proxyAddress[rrplan.LinkStore], MemoryMB: memoryMB,
 		Drain: drainTime, Grace: graceTime, ConfigApply: applyTime, RetryRatio: budgetShare, RetryWindow: budgetWindow, RetrySlack: budgetSlack,
 	}
--- a/internal/soak/rrsoak/inject.go
+++ b/internal/soak/rrsoak/inject.go
@@ -39,7 +39,7 @@
 // are fixed.
 func (f *fleet) inject(e rrplan.Event) error {
 	switch e.Kind {
-	case rrplan.DaemonStop, rrplan.DaemonKill, rrplan.DaemonPause, rrplan.DaemonReload:
+	case rrplan.DaemonStop, rrplan.DaemonKill, rrplan.DaemonPause, rrplan.DaemonReload, rrplan.DaemonReplace:
 		return f.injectDaemon(e, f.daemons[e.Target])
 	case rrplan.ReadersKill:
 		return f.injectReadersKill(e, f.searchers[e.Target])
@@ -103,12 +103,18 @@
 	defer n.mu.Unlock()
 	defer f.history.BeginDisturbance(n.name, e.Kind == rrplan.DaemonStop)()
 	signalled := time.Now()
-	if e.Kind == rrplan.DaemonKill {
+	if e.Kind != rrplan.DaemonStop {
 		n.process.stop(syscall.SIGKILL, graceTime)
 		rrunit.Sleep(f.ctx, e.Duration)
 	} else if !n.process.stop(syscall.SIGTERM, graceTime+stopSlack) && f.history.IsUndisturbed(n.name, signalled) {
 		f.history.AddViolation(rrhistory.PromiseGracefulStop, nil, "%s did not end within its grace of %s", n.process.name, graceTime)
 	}
+	if e.Kind == rrplan.DaemonReplace {
+		n.replacements++
+		if err := f.writeSettings(n); err != nil {
+			return err
+		}
+	}
 	return f.startDaemon(n)
 }
 
