--- a/internal/app/rrfollow/presence.go
+++ b/internal/app/rrfollow/presence.go
@@ -41,13 +41,20 @@
 // republishShare publishes the catalog again if the share has changed, which it does with time
 // too. The caller holds mu.
 func (f *Follower) republishShare() {
-	now := f.share(f.clock())
-	if now == f.published {
+	if f.share(f.clock()) != f.published {
+		f.publish()
+	}
+}
+
+// updateShare takes the share at the instant into what is published next, and logs a change.
+// The caller holds mu.
+func (f *Follower) updateShare(now rrunit.Instant) {
+	own := f.share(now)
+	if own == f.published {
 		return
 	}
-	f.cfg.Log.StateChange("share of limits", "sharers", now.sharers, "held", now.isHeldBack)
-	f.published = now
-	f.publish()
+	f.cfg.Log.StateChange("share of limits", "sharers", own.sharers, "held", own.isHeldBack)
+	f.published = own
 }
 
 // updateInstances passes the live instances to what depends on them. The caller holds mu.
--- a/internal/app/rrfollow/rrfollow.go
+++ b/internal/app/rrfollow/rrfollow.go
@@ -216,6 +216,7 @@
 // publish passes the current catalog to Update. The caller holds mu.
 func (f *Follower) publish() {
 	now := f.clock()
+	f.updateShare(now)
 	if f.searchers.Revision() == 0 {
 		// Without searchers a table cannot serve requests.
 		return
@@ -224,7 +225,6 @@
 	if next > 0 {
 		f.graceTimer.Reset(next.Sub(now))
 	}
-	f.published = f.share(now)
 	f.cfg.Update(&rrcatalog.Catalog{
 		Table: f.appliedTable, Searchers: searchers, Instances: f.liveInstances(),
 		Sharers: f.published.sharers, IsHeldBack: f.published.isHeldBack,
