Do not ask daemons that follow the judge whether they are there

A backup source is called every 2.8 s, so that the judge asked each of these daemons once in that time, two calls a second in a fleet of nine and at its limit of 16 in one of hundreds. It asks after 3.5 s of silence now, and those that do not answer every 2 s as before.

--- a/internal/policy/rrpresence/rrpresence.go
+++ b/internal/policy/rrpresence/rrpresence.go
@@ -18,8 +18,11 @@
 )
 
 const (
-	// probeAfter is how long a daemon is silent before it is asked.
-	probeAfter = 2 * time.Second
+	// probeAfter is how long a daemon is silent before it is asked, longer than the time
+	// between two calls of a daemon that follows this one. probePause is the time between two
+	// probes.
+	probeAfter = 3500 * time.Millisecond
+	probePause = 2 * time.Second
 	// silenceTime and minFailures are how long a daemon must be silent, and how often it must
 	// not have answered meanwhile, before it is doubted.
 	silenceTime = 10 * time.Second
@@ -215,8 +218,8 @@
 	return t.isHeld
 }
 
-// Plan returns what to do now. Only a reader of the
-// store asks and judges others, and only the first one that is there judges.
+// Plan returns what to do now. Only a reader of the store asks and judges others, and only the
+// first one that is there judges.
 func (t *Tracker) Plan(now rrunit.Instant, isReader bool) Actions {
 	a := Actions{Clear: t.clears(now)}
 	if !isReader || !t.isListed {
@@ -252,7 +255,7 @@
 func (t *Tracker) probes(now rrunit.Instant, among []*member) []Member {
 	var silent []*member
 	for _, m := range among {
-		if m.ID != t.cfg.Self && now.Sub(m.heardAt) >= probeAfter && now.Sub(m.askedAt) >= probeAfter {
+		if m.ID != t.cfg.Self && now.Sub(m.heardAt) >= probeAfter && now.Sub(m.askedAt) >= probePause {
 			silent = append(silent, m)
 		}
 	}
