Check at the end of a soak run that daemons are registered

Each daemon that is there must be in the store's list and not doubted; the names of those that were replaced are printed. Runs of 30 s are shorter than a daemon must be silent to be forgotten.

--- a/internal/soak/rrhistory/rrhistory.go
+++ b/internal/soak/rrhistory/rrhistory.go
@@ -60,6 +60,9 @@
 	PromiseNoCrash Promise = "alive"
 	// PromiseRecovery: requests are served again after the faults.
 	PromiseRecovery Promise = "service"
+	// PromisePresence: at the end of a run the store has each daemon that is there, and takes
+	// none of them for gone.
+	PromisePresence Promise = "present"
 	// PromiseResources: memory, file descriptors and goroutines return to their
 	// bounds after the faults.
 	PromiseResources Promise = "resources"
--- a/internal/soak/rrsoak/rrsoak.go
+++ b/internal/soak/rrsoak/rrsoak.go
@@ -129,6 +129,9 @@
 	if err := f.checkResources(before); err != nil {
 		return err
 	}
+	if err := f.checkPresence(); err != nil {
+		return err
+	}
 	stop()
 	callers.Wait()
 	f.restarts.Wait()
