--- a/internal/policy/rrpresence/rrpresence.go
+++ b/internal/policy/rrpresence/rrpresence.go
@@ -33,7 +33,8 @@
 	// others, as it may have been removed, or more may have come, meanwhile. It is less than
 	// objectionTime: whoever learns of no doubt for that long can't object.
 	maxUnseenAge = 12 * time.Second
-	// restartTime is how long a process that was killed may go on using what it was sent.
+	// restartTime is how long after the start of a process attempts of the one before may
+	// arrive.
 	restartTime = 1500 * time.Millisecond
 	// writePause is the time between two calls to the store for one daemon.
 	writePause = 2 * time.Second
@@ -65,8 +66,7 @@
 	// Probe are the daemons to ask directly.
 	Probe []Member
 	// Doubt are the daemons to mark as doubted, and Clear those whose mark to take away.
-	Doubt []Member
-	Clear []Member
+	Doubt, Clear []Member
 	// Remove are the daemons whose object to remove.
 	Remove []Member
 }
@@ -106,8 +106,9 @@
 	removals map[rrunit.InstanceID]rrunit.Instant
 	// confirmed is when the known objects were last those of the store, or the start.
 	confirmed rrunit.Instant
-	// isHeld is set until the own daemon has been registered for a window after the others
-	// have learned of it, which takes learnTime since heldSince.
+	// isHeld is set until a window has passed since the others learned of the own daemon, or
+	// since the attempts of the process before have arrived: learnTime after heldSince, which
+	// is when it was listed, or knew what is new again.
 	isHeld    bool
 	heldSince rrunit.Instant
 	learnTime time.Duration
