--- a/internal/app/rrfollow/presence.go
+++ b/internal/app/rrfollow/presence.go
@@ -59,7 +59,7 @@
 
 // updateInstances passes the live instances to what depends on them. The caller holds mu.
 func (f *Follower) updateInstances() {
-	f.core.SetInstances(f.liveInstances())
+	f.core.SetInstances(f.reachableInstances())
 	var members []rrpresence.Member
 	for _, e := range f.instances.Entries() {
 		if !e.Removed && e.Value != nil {
@@ -70,6 +70,35 @@
 	f.presence.SetMembers(f.clock(), members)
 }
 
+// reachableInstances returns the instances that answer at their address: of those that have
+// registered the same one, the last that nobody doubts. The caller holds mu.
+func (f *Follower) reachableInstances() []rrcatalog.Instance {
+	type entry = rrcatalog.Entry[rrcatalog.Instance]
+	isLater := func(a, b entry) bool {
+		switch {
+		case a.Value.ID == f.cfg.Self.ID || b.Value.ID == f.cfg.Self.ID:
+			return a.Value.ID == f.cfg.Self.ID
+		case a.Value.Doubted != b.Value.Doubted:
+			return b.Value.Doubted
+		}
+		return a.Revision > b.Revision
+	}
+	last := make(map[netip.AddrPort]entry)
+	for _, e := range f.instances.Entries() {
+		if e.Removed || e.Value == nil {
+			continue
+		}
+		if other, ok := last[e.Value.PeerAddress]; !ok || isLater(e, other) {
+			last[e.Value.PeerAddress] = e
+		}
+	}
+	out := make([]rrcatalog.Instance, 0, len(last))
+	for _, e := range last {
+		out = append(out, *e.Value)
+	}
+	return out
+}
+
 // recordHeard records a call of another daemon.
 func (f *Follower) recordHeard(id rrunit.InstanceID) {
 	f.mu.Lock()
