--- a/internal/policy/rrsource/rrsource_test.go
+++ b/internal/policy/rrsource/rrsource_test.go
@@ -283,3 +283,41 @@
 }
 
 const step100 = 100 * time.Millisecond
+
+// Guards against a store that all daemons read for good once its readers are gone: one of each
+// region reads in their place.
+func TestFewReadInThePlaceOfGoneReaders(t *testing.T) {
+	all := threeRegions(8)
+	_, others := readersAndFollowers(t, all)
+	alive := make(map[netip.AddrPort]*rrsource.Selector)
+	for _, i := range others {
+		alive[i.PeerAddress] = core(i, all)
+	}
+	reading := make(map[netip.AddrPort]bool)
+	for now := at(step100); now < at(60*time.Second); now = now.Add(step100) {
+		for address, c := range alive {
+			p := c.Plan(now)
+			if p.ReadStore {
+				c.RecordStoreCall(now, now, true, true)
+			}
+			if now > at(50*time.Second) {
+				reading[address] = reading[address] || p.ReadStore
+			}
+			for _, s := range p.Sources {
+				if other := alive[s.Address]; other != nil {
+					age, known := other.DataAge(now)
+					c.RecordPeerAnswer(now, s.Address, age, known)
+					continue
+				}
+				c.RecordPeerFailure(now, s.Address)
+			}
+		}
+	}
+	n := 0
+	for _, isReading := range reading {
+		if isReading {
+			n++
+		}
+	}
+	must.Eq(t, 3, n)
+}
