--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 for program in target/rhubarbreeld target/review3-rig; do
   [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-exec target/review3-rig readers-lost target/rhubarbreeld review/14/record.txt
+exec target/review3-rig reload-at-drain target/rhubarbreeld review/14/record.txt
--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -133,43 +133,6 @@
 	return broken, nil
 }
 
-// longPause is how long a searcher wants nothing, such as during a maintenance.
-const longPause = 90 * time.Minute
-
-// playLongPause has a searcher turn requests away with a Retry-After of longPause.
-func playLongPause(ctx context.Context, f *fleet, trouble bool) ([]string, error) {
-	searchers, err := startSmall(ctx, f, processing, "one")
-	if err != nil {
-		return nil, err
-	}
-	if trouble {
-		searchers["i-one-a"].Pause(time.Now().Add(longPause))
-		f.rec.note("searcher i-one-a now refuses all requests and asks for a pause of %s", longPause)
-	}
-	load{path: "/one/", interval: 20 * time.Millisecond, length: 15 * time.Second}.run(ctx, f, f.daemons)
-	// grace is the time after the first refusal in which further requests may arrive.
-	const grace = 500 * time.Millisecond
-	const allowed = 2
-	var broken []string
-	for _, d := range f.daemons {
-		var refused time.Time
-		late := 0
-		for _, e := range f.arrivals() {
-			switch {
-			case !strings.HasPrefix(e.ID, d.name+"."):
-			case refused.IsZero() && e.PauseSeconds > 0:
-				refused = e.At
-			case !refused.IsZero() && e.Searcher == "i-one-a" && e.At.Sub(refused) > grace:
-				late++
-			}
-		}
-		if late > allowed {
-			broken = append(broken, fmt.Sprintf("BUDGET: %d requests of %s reach i-one-a during the pause that it asked for", late, d.name))
-		}
-	}
-	return broken, nil
-}
-
 // playLowRank has the operator add a route of a very low rank.
 func playLowRank(ctx context.Context, f *fleet, trouble bool) ([]string, error) {
 	if _, err := startSmall(ctx, f, processing, "one"); err != nil {
--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -48,6 +48,7 @@
 	// mu guards the fields below.
 	mu     sync.Mutex
 	events []standin.RequestEvent
+	sent   int
 	// closers end what the fleet has started, the last first.
 	closers []func()
 }
@@ -57,6 +58,8 @@
 	name, zone                         string
 	callers, readiness, peers, metrics string
 	settingsPath                       string
+	seeds                              []string
+	reloads                            int
 	cmd                                *exec.Cmd
 	log                                *os.File
 }
@@ -161,6 +164,14 @@
 	return out
 }
 
+// nextID returns a new attempt id, which names the daemon.
+func (f *fleet) nextID(d *daemon) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent++
+	return attemptID(d, "all", f.sent)
+}
+
 // bounds are the bounds of the settings.
 type bounds struct{ drain, apply time.Duration }
 
@@ -178,6 +189,7 @@
 		}
 	}
 	for _, d := range f.daemons {
+		d.seeds = seeds
 		if err := f.writeSettings(d, b, seeds, f.address); err != nil {
 			return err
 		}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -27,10 +27,10 @@
 func scenarios() map[string]scenario {
 	return map[string]scenario{
 		"incomplete-entry": playIncompleteEntry,
-		"long-pause":       playLongPause,
 		"low-rank":         playLowRank,
 		"readers-lost":     playReadersLost,
 		"deadly-query":     playDeadlyQuery,
+		"reload-at-drain":  playReloadAtDrain,
 	}
 }
 
