--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -46,7 +46,8 @@
 	daemons []*daemon
 
 	// mu guards the fields below.
-	mu     sync.Mutex
+	mu sync.Mutex
+	// events are the requests that reached searchers.
 	events []standin.RequestEvent
 	sent   int
 	// closers end what the fleet has started, the last first.
@@ -140,7 +141,7 @@
 func (f *fleet) observe(e standin.RequestEvent) {
 	switch {
 	case e.Completed:
-		f.rec.noteAt(e.At, "searcher %s of %s has run %s %s", e.Searcher, e.Service, e.ID, e.URI)
+		return
 	case e.Ran:
 		f.rec.noteAt(e.At, "searcher %s of %s gets and runs %s %s", e.Searcher, e.Service, e.ID, e.URI)
 	default:
@@ -151,17 +152,11 @@
 	f.events = append(f.events, e)
 }
 
-// arrivals returns the requests that reached searchers, without the ends of runs.
+// arrivals returns the requests that reached searchers.
 func (f *fleet) arrivals() []standin.RequestEvent {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []standin.RequestEvent
-	for _, e := range f.events {
-		if !e.Completed {
-			out = append(out, e)
-		}
-	}
-	return out
+	return slices.Clone(f.events)
 }
 
 // nextID returns a new attempt id, which names the daemon.
--- a/review/rig3/reload.go
+++ b/review/rig3/reload.go
@@ -31,6 +31,8 @@
 	// askedBefore and askedAfter are the times of the requests, before and after drain-ms.
 	askedBefore = 200 * time.Millisecond
 	askedAfter  = 900 * time.Millisecond
+	// askPause is the time between them.
+	askPause = 60 * time.Millisecond
 	// askedInTurn is how many requests each machine gets one after the other before the change.
 	askedInTurn = 6
 )
@@ -121,6 +123,9 @@
 	}
 	for end := time.Now().Add(askedBefore + askedAfter); time.Now().Before(end); {
 		c.askAll(ctx, 1)
+		if err := pause(ctx, askPause); err != nil {
+			return err
+		}
 	}
 	for _, s := range left {
 		c.fleet.store.Delete(standin.ObjectSearchers, s.ID)
