--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -37,9 +37,9 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	const argCount = 3
+	const argCount = 4
 	if len(args) != argCount || scenarios()[args[0]] == nil {
-		_, _ = fmt.Fprintln(os.Stderr, "usage: rig3 CASE DAEMON RECORD")
+		_, _ = fmt.Fprintln(os.Stderr, "usage: rig3 CASE DAEMON RECORD TROUBLE, which is 0 to leave the disruption out")
 		return exitNotRun
 	}
 	rec, err := newRecorder(args[2])
@@ -48,7 +48,7 @@
 		return exitNotRun
 	}
 	defer rec.close()
-	broken, err := play(scenarios()[args[0]], rec, args[1], os.Getenv("TROUBLE") != "0")
+	broken, err := play(scenarios()[args[0]], rec, args[1], args[3] != "0")
 	if err != nil {
 		rec.note("the case could not run: %v", err)
 		_, _ = fmt.Fprintln(os.Stderr, "the case could not run:", err)
