--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -5,4 +5,4 @@
 for program in target/rhubarbreeld target/review3-rig; do
   [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-exec target/review3-rig low-rank target/rhubarbreeld review/13/record.txt "${TROUBLE:-1}"
+exec target/review3-rig silent-store target/rhubarbreeld review/13/record.txt "${TROUBLE:-1}"
--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -44,6 +44,8 @@
 	binary  string
 	ports   *rrfleet.Ports
 	daemons []*daemon
+	// oneCore is set if daemons see one core, as the machines of a deployment report it.
+	oneCore bool
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -240,6 +242,9 @@
 	d.log = log
 	d.cmd = exec.CommandContext(ctx, f.binary, "platform", "--metrics", port)
 	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir, "RHUBARBREEL_BOOT=" + d.settingsPath}
+	if f.oneCore {
+		d.cmd.Env = append(d.cmd.Env, "GOMAXPROCS=1")
+	}
 	d.cmd.Stdout, d.cmd.Stderr = log, log
 	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	return eris.Wrapf(d.cmd.Start(), "starting %s", d.name)
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -31,6 +31,7 @@
 		"readers-lost":     playReadersLost,
 		"deadly-query":     playDeadlyQuery,
 		"reload-at-drain":  playReloadAtDrain,
+		"silent-store":     playSilentStore,
 	}
 }
 
