Apply no catalog after a later one

Cause: SetSettings read the catalog and applied it in a goroutine of its own, beside the follower's Update, so that the catalog of before could be the last that a service got. Ruled out: the follower's publisher and the gateway's table (one publisher under the follower's lock), rrmembers and rrowner (applied under one lock).

Tests that failed before: TestSettingsKeepTheLatestCatalog (4 to 11 of 12 services kept searchers that leave), TestFirstRequestDuringUpdate (1 to 5).

--- a/internal/app/rrdaemon/control.go
+++ b/internal/app/rrdaemon/control.go
@@ -35,8 +35,9 @@
 }
 
 // setView applies a new state of the membership.
-func (d *Daemon) setView(v rrmembers.View) {
-	d.view.Store(&v)
+func (d *Daemon) setView(v rrmembers.View) { d.view.Set(&v) }
+
+func (d *Daemon) applyView(v *rrmembers.View) {
 	addresses := make(map[rrunit.InstanceID]string, len(v.List.Instances))
 	for _, in := range v.List.Instances {
 		addresses[in.ID] = in.Peer
@@ -44,7 +45,7 @@
 	if err := d.pool.SetPeers(addresses); err != nil {
 		d.log.Error("peer addresses not applied", "err", err)
 	}
-	d.entry.SetMembers(rrownership.NewTable(d.ownerCandidates(&v)))
+	d.entry.SetMembers(rrownership.NewTable(d.ownerCandidates(v)))
 	d.owner.SetLeaving(leavingUpstreams(v.List))
 }
 
--- a/internal/app/rrdaemon/drain.go
+++ b/internal/app/rrdaemon/drain.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
-	"rhubarbreel.example/rhubarbreel/internal/policy/rrownership"
 )
 
 // drainPollInterval is how often a stopping daemon checks whether its tasks have
@@ -20,9 +19,7 @@
 	d.peers.AnnounceLeaving()
 	d.pool.SetLeaving()
 	d.control.Leave()
-	if view := d.view.Load(); view != nil {
-		d.entry.SetMembers(rrownership.NewTable(d.ownerCandidates(view)))
-	}
+	d.view.Reapply()
 	d.log.Info("leaving", "for", d.settings.Times.DrainDelay)
 	rrunit.Sleep(ctx, d.settings.Times.DrainDelay.Std())
 
--- a/internal/app/rrdaemon/rrdaemon.go
+++ b/internal/app/rrdaemon/rrdaemon.go
@@ -24,6 +24,7 @@
 	"rhubarbreel.example/rhubarbreel/internal/app/rrmetrics"
 	"rhubarbreel.example/rhubarbreel/internal/app/rrowner"
 	"rhubarbreel.example/rhubarbreel/internal/app/rrsettings"
+	"rhubarbreel.example/rhubarbreel/internal/domain/rrlatest"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrpeer"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrstore"
 )
@@ -64,8 +65,8 @@
 	// newQuarantines holds the quarantines that the peers have not received yet.
 	newQuarantines quarantineBuffer
 
-	// view is the latest state of the membership, nil before the first.
-	view atomic.Pointer[rrmembers.View]
+	// view is the state of the membership, applied again once this daemon is leaving.
+	view *rrlatest.Value[rrmembers.View]
 }
 
 // New returns a daemon with settings that have been checked.
@@ -74,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Daemon{
+	d := &Daemon{
 		settings: settings,
 		log:      logger.With("instance", settings.Instance),
 		platform: rrplatform.New(settings.PlatformURL),
@@ -82,7 +83,9 @@
 		codec:    codec,
 		metrics:  rrmetrics.NewQueryMetrics(),
 		dump:     rrdump.New(),
-	}, nil
+	}
+	d.view = rrlatest.New(d.applyView)
+	return d, nil
 }
 
 // Run serves until ctx ends, then stops gracefully. It returns nil after a
--- a/internal/app/rrdispatchers/rrdispatchers.go
+++ b/internal/app/rrdispatchers/rrdispatchers.go
@@ -16,6 +16,7 @@
 	"rhubarbreel.example/rhubarbreel/internal/app/rrmetrics"
 	"rhubarbreel.example/rhubarbreel/internal/app/rrsettings"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrcatalog"
+	"rhubarbreel.example/rhubarbreel/internal/domain/rrlatest"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrpeer"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrquery"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
@@ -94,7 +95,9 @@
 	settings atomic.Pointer[rrsettings.GatewaySettings]
 	pool     *goroutinePool
 
-	catalog atomic.Pointer[rrcatalog.Catalog]
+	// catalog is applied under its lock, which is taken before mu, and applied again with
+	// changed settings.
+	catalog *rrlatest.Value[rrcatalog.Catalog]
 
 	// onQuarantine is called with each quarantine that this daemon decided on.
 	onQuarantine func(rrpeer.Quarantine)
@@ -144,6 +147,7 @@
 	for _, opt := range opts {
 		opt(p)
 	}
+	p.catalog = rrlatest.New(p.applyCatalog)
 	p.pool = newGoroutinePool(ctx, p.recordError)
 	p.settings.Store(settings)
 	return p
@@ -152,9 +156,7 @@
 // SetSettings applies changed settings.
 func (p *Dispatchers) SetSettings(settings *rrsettings.GatewaySettings) {
 	p.settings.Store(settings)
-	if c := p.catalog.Load(); c != nil {
-		p.Update(c)
-	}
+	p.catalog.Reapply()
 }
 
 // Clock returns the clock that all deadlines refer to.
@@ -167,8 +169,9 @@
 func (p *Dispatchers) Wait() { p.pool.wait() }
 
 // Update applies a new catalog of the platform.
-func (p *Dispatchers) Update(c *rrcatalog.Catalog) {
-	p.catalog.Store(c)
+func (p *Dispatchers) Update(c *rrcatalog.Catalog) { p.catalog.Set(c) }
+
+func (p *Dispatchers) applyCatalog(c *rrcatalog.Catalog) {
 	if c.Table != nil {
 		c.Table.ForEachShard(func(name rrunit.ServiceName) { p.dispatcher(name) })
 	}
@@ -245,15 +248,16 @@
 	if d != nil {
 		return d
 	}
-	c := p.catalog.Load()
-	if c == nil {
-		return nil
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if d := p.dispatchers[name]; d != nil {
 		return d
 	}
+	// Under mu, so that the new dispatcher has this catalog or gets the one being applied.
+	c := p.catalog.Load()
+	if c == nil {
+		return nil
+	}
 	d = newDispatcher(p, name, c)
 	p.dispatchers[name] = d
 	return d
