Hold the waits for changes against the operators' bounds

Cause: the age from which data are stale (3.2 s) and the stagger after it (up to 0.4 s) were constants, chosen apart from the bound that their sum has to meet. With data confirmed just before the loss the sum is above it. On the same path: the watch of searchers waited 3 s and had no age of its own; nobody read the store while it was known that no reader is left; the first watch after a fallback confirmed nothing until its end; followers were not told that their source has read. Ruled out: the store's answers (4 ms), the refusals of the lost readers (0.1 s, in the logs).

rrfreshness divides the lesser of config-apply-ms and drain-ms among named waits, with 0.5 s left for a loaded machine; each way's sum is held against the bound in a test. The first four daemons that the others ask next read the store at once when all readers fail; of the others, those whose data become stale read it once.

The tests of rrsource record both parts of the data now, which the age demands.

--- a/internal/app/rrfollow/peers.go
+++ b/internal/app/rrfollow/peers.go
@@ -10,20 +10,17 @@
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrpeer"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrroute"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrfreshness"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrsource"
 )
 
 // Times of following other daemons.
 const (
-	// followWait is how long a request waits at the peer for changes.
-	followWait = rrunit.Duration(700 * time.Millisecond)
-	// backupWait is the same for the backup source. Its changes arrive as soon, but its
-	// age is not needed while the first source answers, and each reader of a large fleet
-	// serves as many requests as a backup source as it does as a first source.
-	backupWait = 4 * followWait
-	// backupDelay is how long the backup source holds back changes that the first source
-	// is likely to send.
-	backupDelay = rrunit.Duration(250 * time.Millisecond)
+	// backupWaits is how many times longer a request waits at the backup source. Its changes
+	// arrive as soon, but its age is not needed while the first source answers, and each
+	// reader of a large fleet serves as many requests as a backup source as it does as a
+	// first source.
+	backupWaits = 4
 	// followRetryDelay is the time between a failed request and the next.
 	followRetryDelay = 100 * time.Millisecond
 )
@@ -39,11 +36,12 @@
 
 func (f *Follower) followPeerOnce(ctx context.Context, source rrsource.Source) bool {
 	request, changed := f.feedRequest()
-	request.Wait = followWait
+	request.Wait = rrunit.Duration(f.currentTimes().PeerWait)
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if source.Backup {
-		request.Wait, request.Delay = backupWait, backupDelay
+		request.Wait *= backupWaits
+		request.Delay = rrunit.Duration(rrfreshness.BackupDelay)
 		// Cancel when the first source has sent changes, so that the backup does not
 		// send them again.
 		done := make(chan struct{})
@@ -77,7 +75,7 @@
 	// What a source of an earlier era knows is out of date, however recently the store
 	// confirmed it.
 	isCurrent := response.Confirmed && response.Era >= f.era
-	f.core.RecordPeerAnswer(now, source.Address, response.Age.Std(), isCurrent)
+	f.trackRenewal(now, func() { f.core.RecordPeerAnswer(now, source.Address, response.Age.Std(), isCurrent) })
 	f.recordAnswer(now, source.Address, response.From)
 	if response.Changes != nil {
 		f.applyChanges(response.Changes)
@@ -110,8 +108,11 @@
 	f.addPeerFindings(request.Findings())
 	timer := time.NewTimer(request.Wait.Std())
 	defer timer.Stop()
+	f.mu.Lock()
+	renewals := f.renewals
+	f.mu.Unlock()
 	for delayed := false; ; {
-		response, changed, urgent := f.feedResponse(request)
+		response, changed, urgent := f.feedResponse(request, renewals)
 		if urgent && request.Delay > 0 && !delayed {
 			delayed = true
 			if !rrunit.Sleep(ctx, request.Delay.Std()) {
@@ -125,7 +126,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			response, _, _ = f.feedResponse(request)
+			response, _, _ = f.feedResponse(request, renewals)
 			return response, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -134,8 +135,9 @@
 }
 
 // feedResponse returns what the requester lacks, a channel that is closed when this
-// daemon's state changes, and whether the response is worth sending at once.
-func (f *Follower) feedResponse(request *rrpeer.FeedRequest) (*rrpeer.FeedResponse, <-chan struct{}, bool) {
+// daemon's state changes, and whether the response is worth sending at once: it has changes, or
+// this daemon's data have been renewed since the request began.
+func (f *Follower) feedResponse(request *rrpeer.FeedRequest, renewals int) (*rrpeer.FeedResponse, <-chan struct{}, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age, known := f.core.DataAge(f.clock())
@@ -143,7 +145,7 @@
 	has := request.Findings()
 	findings := f.findings(request.Limits(), &has)
 	response.Quarantines, response.Crashes = findings.Quarantines, findings.Crashes
-	return response, f.changed, response.Changes != nil && response.Changes.HasEntries() || !findings.IsEmpty()
+	return response, f.changed, response.Changes != nil && response.Changes.HasEntries() || !findings.IsEmpty() || f.renewals > renewals
 }
 
 // withNewerTable returns the changes with this daemon's table if that has a greater number
--- a/internal/app/rrfollow/rrfollow.go
+++ b/internal/app/rrfollow/rrfollow.go
@@ -16,26 +16,21 @@
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrroute"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrexpiry"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrfreshness"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrpresence"
 	"rhubarbreel.example/rhubarbreel/internal/policy/rrsource"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrobject"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrpeers"
 )
 
-// planInterval is how often the sources are chosen anew.
-const planInterval = 100 * time.Millisecond
-
-// staleAge is the age from which a daemon's catalog counts as stale. A reader gets an
-// answer of the store at least every tablesWait, and its followers the reader's age
-// every followWait; the rest is the network time of both answers.
-const staleAge = tablesWait + time.Duration(followWait) + 500*time.Millisecond
-
 // Config is what a follower needs.
 type Config struct {
 	Self  rrcatalog.Instance
 	Seeds []netip.AddrPort
 	// ColdStart is set if all daemons start for the first time, so that no caller waits yet.
 	ColdStart bool
+	// ApplyBound is the time in which all daemons have to apply a change in the store.
+	ApplyBound time.Duration
 	// LimitWindow is the longest time over which limits that the daemons share are counted.
 	LimitWindow time.Duration
 	Store       rrobject.Store
@@ -70,7 +65,9 @@
 	loggedCause rrsource.Cause
 
 	// mu guards the fields below and keeps updates in order.
-	mu        sync.Mutex
+	mu sync.Mutex
+	// times are the waits with which changes are applied in time.
+	times     rrfreshness.Times
 	core      *rrsource.Selector
 	presence  *rrpresence.Tracker
 	expiry    *rrexpiry.Tracker
@@ -87,6 +84,9 @@
 	// changed is closed and replaced with every change of the three sets or of
 	// quarantines.
 	changed chan struct{}
+	// renewals counts how often stale data became fresh. The daemons that wait for changes are
+	// told at once, as they are about to turn to the store.
+	renewals int
 	// graceTimer publishes a new catalog when the grace period of an expired entry ends.
 	graceTimer *time.Timer
 	// quarantines and crashes are those that this daemon passes on.
@@ -119,11 +119,13 @@
 // New returns a follower with an empty catalog.
 func New(cfg Config) *Follower {
 	clock := rrunit.SystemClock()
+	times := rrfreshness.NewTimes(cfg.ApplyBound)
 	f := &Follower{
 		cfg:   cfg,
 		clock: clock,
+		times: times,
 		core: rrsource.New(clock(), rrsource.Config{
-			Self: cfg.Self, Seeds: cfg.Seeds, ColdStart: cfg.ColdStart, StaleAfter: staleAge,
+			Self: cfg.Self, Seeds: cfg.Seeds, ColdStart: cfg.ColdStart, StaleAfter: times.StaleAfter, Stagger: times.Stagger,
 		}),
 		presence:     rrpresence.New(clock(), rrpresence.Config{Self: cfg.Self.ID, Window: cfg.LimitWindow, ColdStart: cfg.ColdStart}),
 		expiry:       rrexpiry.New(),
@@ -144,11 +146,21 @@
 	return f
 }
 
-// SetSeeds replaces the addresses to ask while no instance is known.
-func (f *Follower) SetSeeds(seeds []netip.AddrPort) {
+// SetSettings replaces the addresses to ask while no instance is known, and the time in which
+// a change has to be applied.
+func (f *Follower) SetSettings(seeds []netip.AddrPort, applyBound time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.core.SetSeeds(seeds)
+	f.times = rrfreshness.NewTimes(applyBound)
+	f.core.SetTimes(f.times.StaleAfter, f.times.Stagger)
+}
+
+// currentTimes returns the waits in force.
+func (f *Follower) currentTimes() rrfreshness.Times {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.times
 }
 
 // Run follows the platform until ctx ends.
@@ -177,7 +189,7 @@
 		f.republishShare()
 		f.mu.Unlock()
 		f.applyPlan(workers, plan)
-		if !rrunit.Sleep(ctx, planInterval) {
+		if !rrunit.Sleep(ctx, rrfreshness.PlanInterval) {
 			return
 		}
 	}
@@ -303,6 +315,18 @@
 	f.era = era
 }
 
+// trackRenewal calls record, which may confirm the data, and tells the daemons that wait for
+// changes if stale data became fresh. The caller holds mu.
+func (f *Follower) trackRenewal(now rrunit.Instant, record func()) {
+	_, known := f.core.DataAge(now)
+	wasFresh := f.core.IsFresh(now)
+	record()
+	if known && !wasFresh && f.core.IsFresh(now) {
+		f.renewals++
+		f.notifyWaiters()
+	}
+}
+
 // notifyWaiters wakes the requests that wait for a change. The caller holds mu.
 func (f *Follower) notifyWaiters() {
 	f.changesCache = make(map[revisions]*rrpeer.FeedChanges)
--- a/internal/app/rrfollow/state.go
+++ b/internal/app/rrfollow/state.go
@@ -16,6 +16,8 @@
 	Instances rrcatalog.Revision `json:"instances"`
 	// Age is how long ago the store last confirmed them; negative if it never did.
 	Age rrunit.Duration `json:"age"`
+	// Stale is the age from which this daemon turns to the store.
+	Stale rrunit.Duration `json:"stale"`
 	// Sharers is how many daemons share limits, and Held is set while this one leaves its share
 	// to others.
 	Sharers int  `json:"sharers"`
@@ -35,6 +37,7 @@
 		Searchers: f.searchers.Revision(),
 		Instances: f.instances.Revision(),
 		Age:       -1,
+		Stale:     rrunit.Duration(f.times.StaleAfter),
 	}
 	if f.appliedTable != nil {
 		s.Table = f.appliedTable.Number
--- a/internal/app/rrfollow/store.go
+++ b/internal/app/rrfollow/store.go
@@ -13,22 +13,22 @@
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrpeer"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrroute"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrfreshness"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrsource"
 	"rhubarbreel.example/rhubarbreel/internal/port/rrobject"
 )
 
 // Times of the calls to the store.
 const (
-	// tablesWait, searchersWait and instancesWait are how long one watch waits for a
-	// change. A silent connection is detected a little later.
-	tablesWait    = 2 * time.Second
-	searchersWait = 3 * time.Second
-	instancesWait = 15 * time.Second
-	// watchPause is the pause after each watch, so that changes in quick succession are
-	// read together. The daemons change seldom after the start, when they are many.
-	watchPause          = 150 * time.Millisecond
+	// firstWait is how long the first watch waits for a change, and the first after a failed
+	// one: its answer shows that the store is there and that nothing has changed.
+	firstWait = 10 * time.Millisecond
+	// instancesWait and instancesWatchPause are the wait and the pause of the watch of the
+	// daemons, which change seldom after the start, when they are many.
+	instancesWait       = 15 * time.Second
 	instancesWatchPause = time.Second
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call.
-	minRetryDelay = 150 * time.Millisecond
+	minRetryDelay = rrfreshness.RetryDelay
 	maxRetryDelay = time.Second
 	// emptyRetryDelay is the delay after a failed call as long as the set is empty,
 	// when the daemon cannot serve requests.
@@ -41,6 +41,18 @@
 	storeFailureWindow = 4 * time.Second
 )
 
+// partOf returns the part of the data that calls of the kind confirm.
+func partOf(kind storeKind) rrsource.Part {
+	switch kind {
+	case kindTables:
+		return rrsource.PartTables
+	case kindSearchers:
+		return rrsource.PartSearchers
+	default:
+		return rrsource.PartNone
+	}
+}
+
 // storeKind is the kind of a call to the store.
 type storeKind string
 
@@ -98,11 +110,11 @@
 	defer group.Wait()
 	group.Go(func() {
 		revision := func() rrcatalog.Revision { return f.tables.Revision() }
-		watchKind(ctx, f, kindTables, f.cfg.Store.Tables(), watchTimes{tablesWait, watchPause}, revision, tableChanges)
+		watchKind(ctx, f, kindTables, f.cfg.Store.Tables(), f.dataWatch, revision, tableChanges)
 	})
 	group.Go(func() {
 		revision := func() rrcatalog.Revision { return f.searchers.Revision() }
-		watchKind(ctx, f, kindSearchers, f.cfg.Store.Searchers(), watchTimes{searchersWait, watchPause}, revision, searcherChanges)
+		watchKind(ctx, f, kindSearchers, f.cfg.Store.Searchers(), f.dataWatch, revision, searcherChanges)
 	})
 	group.Go(func() {
 		for ctx.Err() == nil {
@@ -128,7 +140,8 @@
 		}
 	}()
 	revision := func() rrcatalog.Revision { return f.instances.Revision() }
-	watchKind(ctx, f, kindInstances, f.cfg.Store.Instances(), watchTimes{instancesWait, instancesWatchPause}, revision, instanceChanges)
+	times := func() watchTimes { return watchTimes{instancesWait, instancesWatchPause} }
+	watchKind(ctx, f, kindInstances, f.cfg.Store.Instances(), times, revision, instanceChanges)
 }
 
 // keepRegistered registers this daemon again, until ctx ends, if another one has removed or
@@ -200,14 +213,23 @@
 // watchTimes are how long a watch waits for a change, and the pause after it.
 type watchTimes struct{ wait, pause time.Duration }
 
+// dataWatch returns the times of the watches of tables and searchers.
+func (f *Follower) dataWatch() watchTimes {
+	return watchTimes{f.currentTimes().StoreWait, rrfreshness.WatchPause}
+}
+
 // watchKind lists and watches one kind until ctx ends. Changes that other daemons sent
 // meanwhile are not read again.
-func watchKind[K ~string, V any](ctx context.Context, f *Follower, kind storeKind, store rrobject.Collection[K, V], times watchTimes,
+func watchKind[K ~string, V any](ctx context.Context, f *Follower, kind storeKind, store rrobject.Collection[K, V], times func() watchTimes,
 	revision func() rrcatalog.Revision, wrap func(*rrcatalog.Delta[K, V]) *rrpeer.FeedChanges,
 ) {
 	retryDelay := minRetryDelay
-	relist := false
+	relist, isFirst := false, true
 	for ctx.Err() == nil {
+		wait := times().wait
+		if isFirst {
+			wait = firstWait
+		}
 		f.mu.Lock()
 		since := revision()
 		f.mu.Unlock()
@@ -217,7 +239,7 @@
 		if since == 0 || relist {
 			changes, err = store.List(ctx)
 		} else {
-			changes, err = store.Watch(ctx, since, times.wait)
+			changes, err = store.Watch(ctx, since, wait)
 		}
 		if errors.Is(err, rrobject.ErrCompacted) {
 			f.cfg.Log.Failure("store has dropped its history", "kind", kind, "since", since)
@@ -225,6 +247,7 @@
 			continue
 		}
 		if !f.recordStoreCall(ctx, started, kind, err) {
+			isFirst = true
 			if since == 0 {
 				retryDelay = emptyRetryDelay
 			}
@@ -232,9 +255,9 @@
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 			continue
 		}
-		retryDelay, relist = minRetryDelay, false
+		retryDelay, relist, isFirst = minRetryDelay, false, false
 		applyStoreChanges(f, kind, &changes, wrap)
-		rrunit.Sleep(ctx, times.pause)
+		rrunit.Sleep(ctx, times().pause)
 	}
 }
 
@@ -291,7 +314,8 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.core.RecordStoreCall(f.clock(), started, err == nil, kind == kindTables || kind == kindSearchers)
+	now := f.clock()
+	f.trackRenewal(now, func() { f.core.RecordStoreCall(now, started, err == nil, partOf(kind)) })
 	f.cfg.Metrics.Count(rrmetrics.GroupStore, rrmetrics.JoinLabels(string(kind), outcomeLabel(err)))
 	if err != nil {
 		f.lastStoreFailure = f.clock()
--- a/internal/app/rrnode/reload.go
+++ b/internal/app/rrnode/reload.go
@@ -42,6 +42,6 @@
 	}
 	n.settings = settings
 	n.dispatchers.SetSettings(settings)
-	n.follower.SetSeeds(settings.Seeds)
+	n.follower.SetSettings(settings.Seeds, settings.Bounds.MaxFollowTime())
 	n.log.StateChange("settings taken", "cause", cause, "seeds", len(settings.Seeds))
 }
--- a/internal/app/rrnode/rrnode.go
+++ b/internal/app/rrnode/rrnode.go
@@ -144,6 +144,7 @@
 		},
 		Seeds:         n.settings.Seeds,
 		ColdStart:     n.settings.ColdStart,
+		ApplyBound:    n.settings.Bounds.MaxFollowTime(),
 		LimitWindow:   n.settings.Bounds.ExtraWindow,
 		Store:         n.platform.Store,
 		Feeds:         feeds,
--- a/internal/app/rrsettings/gateway.go
+++ b/internal/app/rrsettings/gateway.go
@@ -50,6 +50,9 @@
 	HeartbeatInterval time.Duration
 }
 
+// MaxFollowTime bounds the time until a change in the platform's store is applied.
+func (b *Bounds) MaxFollowTime() time.Duration { return min(b.MaxApplyTime, b.MaxDrainTime) }
+
 // Check returns an error that names the key of the first invalid setting.
 func (s *GatewaySettings) Check() error {
 	if err := rrunit.CheckName("instance", s.Instance); err != nil {
--- a/internal/policy/rrsource/rrsource.go
+++ b/internal/policy/rrsource/rrsource.go
@@ -17,6 +17,7 @@
 
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrcatalog"
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
+	"rhubarbreel.example/rhubarbreel/internal/policy/rrfreshness"
 )
 
 // Parameters of the selection.
@@ -40,18 +41,14 @@
 	// when no caller waits.
 	coldStartGrace = 2 * time.Second
 	// staggerPerRank delays the fallback to the store by the daemon's rank among the
-	// instances, up to maxStagger, so that the first one can serve the rest.
+	// instances, up to Config.Stagger, so that the first one can serve the rest.
 	staggerPerRank = 25 * time.Millisecond
-	maxStagger     = 400 * time.Millisecond
 	// fallbackReadTime is how long a daemon that falls back to the store reads it.
 	fallbackReadTime = 4 * time.Second
 	// goneTime and minGoneFailures are how long, and how often in that time, a daemon must not
 	// have answered to count as gone.
 	goneTime        = 4 * time.Second
 	minGoneFailures = 3
-	// maxAnswerDelay is the greatest age of a store answer on arrival: the usual
-	// 4 ms, slowed down 60 times at worst.
-	maxAnswerDelay = 250 * time.Millisecond
 )
 
 // Config holds the settings of a daemon.
@@ -63,6 +60,9 @@
 	ColdStart bool
 	// StaleAfter is the age from which the data of a source is stale.
 	StaleAfter time.Duration
+	// Stagger is the time over which the daemons fall back to the store if the data of all
+	// become stale at the same time.
+	Stagger time.Duration
 }
 
 // Source is a daemon to ask. The first source of a plan answers at once. The second
@@ -86,6 +86,8 @@
 	CauseAlone Cause = "alone"
 	// CauseStale means that the daemon gets only stale data from its sources.
 	CauseStale Cause = "stale"
+	// CauseStandIn means that no reader answers, and that the other daemons ask this one next.
+	CauseStandIn Cause = "standin"
 )
 
 // Plan is what to read and whom to ask now.
@@ -111,6 +113,16 @@
 	answeredAt rrunit.Instant
 }
 
+// Part is a part of a daemon's data, which is read from the store by calls of its own.
+type Part string
+
+// The parts whose age is tracked. PartNone stands for calls that read neither.
+const (
+	PartNone      Part = ""
+	PartTables    Part = "tables"
+	PartSearchers Part = "searchers"
+)
+
 // Selector selects the sources of one daemon. It is not safe for concurrent use.
 type Selector struct {
 	cfg     Config
@@ -119,10 +131,9 @@
 	// readers are the instances of ranked that read the store for all.
 	readers []rrcatalog.Instance
 	peers   map[netip.AddrPort]*peer
-	// confirmed is when, by the answers received, the store last confirmed this
-	// daemon's data; confirmedOnce is true if it ever did.
-	confirmed     rrunit.Instant
-	confirmedOnce bool
+	// confirmed has when, by the answers received, the store last confirmed each part of this
+	// daemon's data; a part that it never confirmed is missing.
+	confirmed map[Part]rrunit.Instant
 	// storeOK is true if the last call to the store succeeded.
 	storeOK bool
 	// listing is true while a daemon that has just started lists the store once.
@@ -135,7 +146,12 @@
 
 // New returns a Selector for a daemon that starts now.
 func New(now rrunit.Instant, cfg Config) *Selector {
-	return &Selector{cfg: cfg, started: now, peers: make(map[netip.AddrPort]*peer)}
+	return &Selector{cfg: cfg, started: now, peers: make(map[netip.AddrPort]*peer), confirmed: make(map[Part]rrunit.Instant)}
+}
+
+// SetTimes replaces the age from which data are stale, and the stagger.
+func (c *Selector) SetTimes(staleAfter, stagger time.Duration) {
+	c.cfg.StaleAfter, c.cfg.Stagger = staleAfter, stagger
 }
 
 // SetSeeds replaces the seeds.
@@ -201,19 +217,19 @@
 // Instances returns how many daemons are known, this one included.
 func (c *Selector) Instances() int { return max(1, len(c.ranked)) }
 
-// RecordStoreCall records the end of a call to the store that began at startedAt.
-// confirms is true if the call read the data whose age is tracked. Its result was
-// current when the store answered, however long a watch waited before.
-func (c *Selector) RecordStoreCall(now, startedAt rrunit.Instant, ok, confirms bool) {
+// RecordStoreCall records the end of a call to the store that began at startedAt and read the
+// part. Its result was current when the store answered, however long a watch waited before.
+func (c *Selector) RecordStoreCall(now, startedAt rrunit.Instant, ok bool, part Part) {
 	c.storeOK = ok
-	if ok && confirms {
-		c.confirm(max(startedAt, now.Add(-maxAnswerDelay)))
+	if ok && part != PartNone {
+		c.confirm(max(startedAt, now.Add(-rrfreshness.AnswerTime)), part)
 	}
 }
 
-func (c *Selector) confirm(at rrunit.Instant) {
-	c.confirmed = max(c.confirmed, at)
-	c.confirmedOnce = true
+func (c *Selector) confirm(at rrunit.Instant, parts ...Part) {
+	for _, part := range parts {
+		c.confirmed[part] = max(c.confirmed[part], at)
+	}
 }
 
 // RecordPeerAnswer records the answer of a source with the age of its data; hasData is
@@ -232,7 +248,7 @@
 		p.dataAge = c.cfg.StaleAfter + time.Second
 		return
 	}
-	c.confirm(now.Add(-age))
+	c.confirm(now.Add(-age), PartTables, PartSearchers)
 }
 
 // RecordPeerFailure records that a source did not answer.
@@ -258,10 +274,18 @@
 	return p
 }
 
-// DataAge returns how long ago the store last confirmed this daemon's data, and false if
-// it never did.
+// DataAge returns how long ago the store last confirmed the older part of this daemon's data,
+// and false if it has not confirmed all.
 func (c *Selector) DataAge(now rrunit.Instant) (time.Duration, bool) {
-	return max(0, now.Sub(c.confirmed)), c.confirmedOnce
+	tables, hasTables := c.confirmed[PartTables]
+	searchers, hasSearchers := c.confirmed[PartSearchers]
+	return max(0, now.Sub(min(tables, searchers))), hasTables && hasSearchers
+}
+
+// IsFresh reports whether this daemon's data are not stale.
+func (c *Selector) IsFresh(now rrunit.Instant) bool {
+	age, known := c.DataAge(now)
+	return known && age < c.cfg.StaleAfter
 }
 
 // Plan returns what to read and whom to ask now.
@@ -273,7 +297,7 @@
 	case c.isFallingBack(now):
 		p.ReadStore, p.Cause = true, c.fallbackCause
 	}
-	if p.Cause == CauseReader && c.storeOK && c.isFresh(now) {
+	if p.Cause == CauseReader && c.storeOK && c.IsFresh(now) {
 		p.Sources = c.goneReader(now)
 		return p
 	}
@@ -289,12 +313,14 @@
 }
 
 // isFallingBack reports whether the daemon, which is not a reader, reads the store. It goes on
-// until a reader has fresh data: the next fallback would begin only once its own are stale.
+// until a reader has fresh data: the next fallback would begin only once its own are stale. One
+// with sources that the others do not ask next reads it once, as there may be many of them.
 func (c *Selector) isFallingBack(now rrunit.Instant) bool {
 	if c.fallbackCause == CauseNone {
 		return false
 	}
-	if now >= c.fallbackUntil && c.hasFreshReader(now) {
+	isReadOnce := c.fallbackCause == CauseStale && c.IsFresh(now) && !c.isSpare()
+	if isReadOnce || now >= c.fallbackUntil && c.hasFreshReader(now) {
 		c.fallbackCause = CauseNone
 		return false
 	}
@@ -328,75 +354,137 @@
 	return others, c.isReader()
 }
 
-func (c *Selector) isFresh(now rrunit.Instant) bool {
-	age, known := c.DataAge(now)
-	return known && age < c.cfg.StaleAfter
-}
-
 // isReader reports whether this daemon is one of the readers.
 func (c *Selector) isReader() bool {
-	return slices.ContainsFunc(c.readers, func(i rrcatalog.Instance) bool { return i.ID == c.cfg.Self.ID })
+	return c.isReaderID(c.cfg.Self.ID)
+}
+
+func (c *Selector) isReaderID(id rrunit.InstanceID) bool {
+	return slices.ContainsFunc(c.readers, func(i rrcatalog.Instance) bool { return i.ID == id })
 }
 
 // needsStore returns why the daemon, which is not a reader, has to fall back to the
 // store, or CauseNone.
 func (c *Selector) needsStore(now rrunit.Instant, sources int) Cause {
-	delay := min(maxStagger, time.Duration(c.rank())*staggerPerRank)
+	delay := min(c.cfg.Stagger, time.Duration(c.rank())*staggerPerRank)
 	grace := startGrace
 	if c.cfg.ColdStart {
 		grace = coldStartGrace
 	}
-	if c.listing || now < c.started.Add(grace+delay) && !c.confirmedOnce {
+	age, known := c.DataAge(now)
+	switch {
+	case c.listing || now < c.started.Add(grace+delay) && !known:
 		return CauseNone
-	}
-	if sources == 0 {
+	case sources == 0:
 		return CauseAlone
-	}
-	if age, known := c.DataAge(now); !known || age > c.cfg.StaleAfter+delay {
+	case !known || age > c.cfg.StaleAfter+delay:
 		return CauseStale
+	case c.isStandIn():
+		return CauseStandIn
 	}
 	return CauseNone
 }
 
+// isStandIn reports whether no reader answers and the other daemons, which find the same, ask
+// this one next.
+func (c *Selector) isStandIn() bool {
+	return len(c.readers) > 0 && c.areFailing(c.readers) && c.isSpare()
+}
+
+// isSpare reports whether the other daemons ask this one if no reader is usable.
+func (c *Selector) isSpare() bool {
+	return slices.ContainsFunc(c.spares(), func(i rrcatalog.Instance) bool { return i.ID == c.cfg.Self.ID })
+}
+
+// areFailing reports whether all of the daemons have failed to answer since they last did.
+func (c *Selector) areFailing(daemons []rrcatalog.Instance) bool {
+	return !slices.ContainsFunc(daemons, func(i rrcatalog.Instance) bool { return !c.isFailing(i.PeerAddress) })
+}
+
+func (c *Selector) isFailing(at netip.AddrPort) bool {
+	p := c.peers[at]
+	return p != nil && p.failures > 0
+}
+
+// spares returns the daemons to ask if no reader is usable: the first ones that are no
+// readers and have not failed. This daemon can be among them.
+func (c *Selector) spares() []rrcatalog.Instance {
+	var out []rrcatalog.Instance
+	for _, i := range c.ranked {
+		if len(out) == maxSpareCandidates {
+			break
+		}
+		isSelf := i.ID == c.cfg.Self.ID
+		if !c.isReaderID(i.ID) && (isSelf || !c.isFailing(i.PeerAddress)) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 func (c *Selector) rank() int {
 	return max(0, slices.IndexFunc(c.ranked, func(i rrcatalog.Instance) bool { return i.ID == c.cfg.Self.ID }))
 }
 
+// failingSpares returns daemons to ask again that are no readers and have failed, but do not
+// count as gone.
+func (c *Selector) failingSpares() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, i := range c.ranked {
+		if len(out) == maxSpareCandidates {
+			break
+		}
+		if i.ID != c.cfg.Self.ID && !c.isReaderID(i.ID) && c.isFailing(i.PeerAddress) && !c.isGone(i) {
+			out = append(out, i.PeerAddress)
+		}
+	}
+	return out
+}
+
 // sources returns the daemons to ask: readers of the own region first, then other
 // readers, then others. Those that failed recently or have only stale data are left
-// out.
+// out. One that has failed is asked again beside the others, or in place of missing ones.
 func (c *Selector) sources(now rrunit.Instant) []Source {
-	var out []Source
+	var sound, failing []netip.AddrPort
 	for _, at := range c.candidates() {
-		if len(out) == maxSources {
-			break
-		}
 		p := c.peer(at)
 		stale := p.answeredAt > 0 && now.Sub(p.answeredAt) < maxBackoff && p.dataAge > c.cfg.StaleAfter
-		if now < p.backoffUntil || stale {
-			continue
+		switch {
+		case now < p.backoffUntil || stale:
+		case p.failures > 0:
+			failing = append(failing, at)
+		default:
+			sound = append(sound, at)
 		}
+	}
+	sound = sound[:min(len(sound), maxSources)]
+	failing = failing[:min(len(failing), max(1, maxSources-len(sound)))]
+	var out []Source
+	for _, at := range slices.Concat(sound, failing) {
 		out = append(out, Source{Address: at, Backup: len(out) > 0})
 	}
 	return out
 }
 
+// candidates returns the daemons that may be asked, the preferred ones first.
 func (c *Selector) candidates() []netip.AddrPort {
-	var sameRegion, otherRegions, spare []netip.AddrPort
-	for _, i := range c.ranked {
-		isReader := slices.ContainsFunc(c.readers, func(r rrcatalog.Instance) bool { return r.ID == i.ID })
+	var sameRegion, otherRegions, out []netip.AddrPort
+	for _, i := range c.readers {
 		switch {
-		case i.ID == c.cfg.Self.ID || c.isGone(i):
-		case !isReader && len(spare) < maxSpareCandidates:
-			spare = append(spare, i.PeerAddress)
-		case !isReader:
+		case i.ID == c.cfg.Self.ID:
 		case i.Region == c.cfg.Self.Region:
 			sameRegion = append(sameRegion, i.PeerAddress)
 		default:
 			otherRegions = append(otherRegions, i.PeerAddress)
 		}
 	}
-	out := slices.Concat(sameRegion, otherRegions, spare)
+	out = slices.Concat(sameRegion, otherRegions)
+	for _, i := range c.spares() {
+		if i.ID != c.cfg.Self.ID {
+			out = append(out, i.PeerAddress)
+		}
+	}
+	out = append(out, c.failingSpares()...)
 	for _, s := range c.cfg.Seeds {
 		if s != c.cfg.Self.PeerAddress && !slices.Contains(out, s) {
 			out = append(out, s)
--- a/internal/policy/rrsource/rrsource_test.go
+++ b/internal/policy/rrsource/rrsource_test.go
@@ -39,6 +39,12 @@
 
 func at(d time.Duration) rrunit.Instant { return rrunit.Instant(d) }
 
+// recordRead records that the daemon has read both parts of its data.
+func recordRead(c *rrsource.Selector, now, startedAt rrunit.Instant) {
+	c.RecordStoreCall(now, startedAt, true, rrsource.PartTables)
+	c.RecordStoreCall(now, startedAt, true, rrsource.PartSearchers)
+}
+
 // readersAndFollowers returns which daemons read the store, and which do not, when each
 // has the whole list of instances.
 func readersAndFollowers(t *testing.T, all []rrcatalog.Instance) (readers, others []rrcatalog.Instance) {
@@ -148,9 +154,9 @@
 	all := threeRegions(2)
 	readers, _ := readersAndFollowers(t, all)
 	c := core(readers[0], all)
-	c.RecordStoreCall(at(time.Second), at(time.Second), true, true)
+	recordRead(c, at(time.Second), at(time.Second))
 	must.Len(t, 0, c.Plan(at(time.Second)).Sources)
-	c.RecordStoreCall(at(time.Second), at(time.Second), false, false)
+	c.RecordStoreCall(at(time.Second), at(time.Second), false, rrsource.PartNone)
 	p := c.Plan(at(1100 * time.Millisecond))
 	must.True(t, p.ReadStore)
 	must.Len(t, 2, p.Sources)
@@ -177,7 +183,7 @@
 	all := threeRegions(2)
 	readers, _ := readersAndFollowers(t, all)
 	c := core(readers[0], all)
-	c.RecordStoreCall(at(5*time.Second), at(3*time.Second), true, true)
+	recordRead(c, at(5*time.Second), at(3*time.Second))
 	age, known := c.DataAge(at(5 * time.Second))
 	must.True(t, known)
 	must.Less(t, 300*time.Millisecond, age)
@@ -187,11 +193,11 @@
 // data, such as the registration of a new daemon, does not make the data fresh.
 func TestOtherCallsConfirmNothing(t *testing.T) {
 	c := rrsource.New(at(0), rrsource.Config{Self: rrcatalog.Instance{ID: "a"}, StaleAfter: time.Second})
-	c.RecordStoreCall(at(time.Second), at(time.Second), true, false)
+	c.RecordStoreCall(at(time.Second), at(time.Second), true, rrsource.PartNone)
 	_, known := c.DataAge(at(time.Second))
 	must.False(t, known)
-	c.RecordStoreCall(at(2*time.Second), at(2*time.Second), true, true)
-	c.RecordStoreCall(at(5*time.Second), at(5*time.Second), true, false)
+	recordRead(c, at(2*time.Second), at(2*time.Second))
+	c.RecordStoreCall(at(5*time.Second), at(5*time.Second), true, rrsource.PartNone)
 	age, known := c.DataAge(at(5 * time.Second))
 	must.True(t, known)
 	must.GreaterEq(t, 3*time.Second, age)
@@ -230,7 +236,7 @@
 			for address, c := range alive {
 				p := c.Plan(now)
 				if p.ReadStore {
-					c.RecordStoreCall(now, now, true, true)
+					recordRead(c, now, now)
 				}
 				if p.ReadStore && now > at(90*time.Second) {
 					reads[address]++
@@ -298,7 +304,7 @@
 		for address, c := range alive {
 			p := c.Plan(now)
 			if p.ReadStore {
-				c.RecordStoreCall(now, now, true, true)
+				recordRead(c, now, now)
 			}
 			if now > at(50*time.Second) {
 				reading[address] = reading[address] || p.ReadStore
@@ -321,3 +327,41 @@
 	}
 	must.Eq(t, 3, n)
 }
+
+// Guards against one part of the data that hides the other: the age is that of the older one.
+func TestEachPartHasItsAge(t *testing.T) {
+	for _, parts := range [][]rrsource.Part{{rrsource.PartTables, rrsource.PartSearchers}, {rrsource.PartSearchers, rrsource.PartTables}} {
+		c := rrsource.New(at(0), rrsource.Config{Self: rrcatalog.Instance{ID: "a"}, StaleAfter: time.Second})
+		c.RecordStoreCall(at(time.Second), at(time.Second), true, parts[0])
+		_, known := c.DataAge(at(time.Second))
+		must.False(t, known)
+		c.RecordStoreCall(at(time.Second), at(time.Second), true, parts[1])
+		must.True(t, c.IsFresh(at(time.Second)))
+		c.RecordStoreCall(at(3*time.Second), at(3*time.Second), true, parts[0])
+		age, known := c.DataAge(at(3 * time.Second))
+		must.True(t, known)
+		must.Eq(t, 2*time.Second, age)
+		must.False(t, c.IsFresh(at(3*time.Second)))
+	}
+}
+
+// Guards against a whole fleet that waits until its data are stale although its readers are
+// known to be lost: those that the others ask next read the store at once, and no others.
+func TestFewStandInForFailedReaders(t *testing.T) {
+	all := threeRegions(8)
+	readers, others := readersAndFollowers(t, all)
+	standIns := 0
+	for _, self := range others {
+		c := core(self, all)
+		c.RecordPeerAnswer(at(step100), readers[0].PeerAddress, 0, true)
+		for n, r := range readers {
+			must.NotEq(t, rrsource.CauseStandIn, c.Plan(at(step100)).Cause, must.Sprintf("%d of the readers failed", n))
+			c.RecordPeerFailure(at(step100), r.PeerAddress)
+		}
+		if p := c.Plan(at(step100)); p.Cause == rrsource.CauseStandIn {
+			must.True(t, p.ReadStore)
+			standIns++
+		}
+	}
+	must.Eq(t, 4, standIns)
+}
