Ask first who has not told of stale data

Daemons asked one reader after the other until each had told of its stale data, for 0.7 s each, while all of them turned to the store.

Once a daemon's own data are stale, a source that could have told of newer data by now comes after those that could not: the first daemons that turn to the store tell the others.

TestChangeAfterReadersAreLost and TestFewCallsAfterReadersAreLost play readers that are cut off from the store too.

--- a/internal/app/rrfollow/loss_test.go
+++ b/internal/app/rrfollow/loss_test.go
@@ -114,7 +114,7 @@
 		phases = shortLossPhases
 	}
 	for _, bound := range []time.Duration{3 * time.Second, 4 * time.Second, 5 * time.Second, 8 * time.Second} {
-		for _, how := range []loss{lossKilled, lossSilent} {
+		for _, how := range []loss{lossKilled, lossSilent, lossCutOff} {
 			for _, daemons := range []int{6, 9, 24} {
 				t.Run(fmt.Sprintf("%s/%s/%d", bound, how, daemons), func(t *testing.T) {
 					t.Parallel()
@@ -139,7 +139,7 @@
 // Guards against a store that all daemons of a large fleet turn to when those that read it are
 // lost: those that do read it once, and a few go on and tell the others.
 func TestFewCallsAfterReadersAreLost(t *testing.T) {
-	for _, how := range []loss{lossKilled, lossSilent} {
+	for _, how := range []loss{lossKilled, lossSilent, lossCutOff} {
 		for _, share := range []float64{0, 0.55} {
 			c := lossCase{daemons: 300, bound: 8 * time.Second, how: how, share: share}
 			got := c.play(t)
--- a/internal/app/rrfollow/simfleet_test.go
+++ b/internal/app/rrfollow/simfleet_test.go
@@ -85,12 +85,17 @@
 	if err := s.begin(ctx, k.client); err != nil {
 		return rrobject.Changes[K, V]{}, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	defer cancel()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for isLast := since == 0; ; {
 		delta, changed := k.changes(since)
 		if isLast || len(delta.Entries) > 0 {
 			rrunit.Sleep(ctx, s.delay)
+			if k.client.isCutOff() {
+				<-ctx.Done()
+			}
 			return rrobject.Changes[K, V]{Delta: delta}, ctx.Err()
 		}
 		select {
@@ -109,7 +114,7 @@
 	defer s.mu.Unlock()
 	d := rrcatalog.Delta[K, V]{Revision: s.revision, Full: since == 0, Entries: make(map[K]rrcatalog.Entry[V])}
 	for name, e := range k.entries {
-		if e.Revision > since && !(d.Full && e.Removed) {
+		if e.Revision > since && (!d.Full || !e.Removed) {
 			d.Entries[name] = e
 		}
 	}
@@ -226,6 +231,8 @@
 	lossKilled loss = "killed"
 	// lossSilent leaves calls without an answer.
 	lossSilent loss = "silent"
+	// lossCutOff leaves the daemon's own calls to the store without an answer.
+	lossCutOff loss = "cut-off"
 )
 
 // simDaemon is a follower in a simFleet.
@@ -279,8 +286,12 @@
 	}
 }
 
-// lose ends the daemon.
+// lose ends the daemon, or cuts it off from the store.
 func (d *simDaemon) lose(how loss) {
+	if how == lossCutOff {
+		d.setCutOff(true)
+		return
+	}
 	d.mu.Lock()
 	d.loss = how
 	d.mu.Unlock()
--- a/internal/policy/rrsource/rrsource.go
+++ b/internal/policy/rrsource/rrsource.go
@@ -443,24 +443,26 @@
 
 // sources returns the daemons to ask: readers of the own region first, then other
 // readers, then others. Those that failed recently or have only stale data are left
-// out. One that has failed is asked again beside the others, or in place of missing ones.
+// out. One that has failed, or must have told of newer data by now, is asked again beside the
+// others, or in place of missing ones.
 func (c *Selector) sources(now rrunit.Instant) []Source {
-	var sound, failing []netip.AddrPort
+	var sound, doubtful []netip.AddrPort
+	isStale := !c.IsFresh(now)
 	for _, at := range c.candidates() {
 		p := c.peer(at)
 		stale := p.answeredAt > 0 && now.Sub(p.answeredAt) < maxBackoff && p.dataAge > c.cfg.StaleAfter
 		switch {
 		case now < p.backoffUntil || stale:
-		case p.failures > 0:
-			failing = append(failing, at)
+		case p.failures > 0, isStale && p.answeredAt > 0 && now.Sub(p.answeredAt)+p.dataAge > c.cfg.StaleAfter:
+			doubtful = append(doubtful, at)
 		default:
 			sound = append(sound, at)
 		}
 	}
 	sound = sound[:min(len(sound), maxSources)]
-	failing = failing[:min(len(failing), max(1, maxSources-len(sound)))]
+	doubtful = doubtful[:min(len(doubtful), max(1, maxSources-len(sound)))]
 	var out []Source
-	for _, at := range slices.Concat(sound, failing) {
+	for _, at := range slices.Concat(sound, doubtful) {
 		out = append(out, Source{Address: at, Backup: len(out) > 0})
 	}
 	return out
