Take no settings again that have not changed

Node.settings is also read by a stopping daemon while a reload replaces it; it is an atomic pointer now. No test of its own; the race was found by reading.

--- a/internal/app/rrcommand/platform.go
+++ b/internal/app/rrcommand/platform.go
@@ -35,13 +35,11 @@
 			defer logger.Close()
 			path := os.Getenv(platform.SettingsPathEnv)
 			logger.StateChange("starting", "settings", path)
-			settings, err := platform.LoadSettings(path)
+			load := func() (*rrsettings.GatewaySettings, error) { return loadSettings(path, metricsPort) }
+			settings, err := load()
 			if err != nil {
 				return &usageError{err}
 			}
-			if metricsPort > 0 {
-				settings.MetricsAddress = netip.AddrPortFrom(settings.CallerAddress.Addr(), metricsPort)
-			}
 			debug.SetGCPercent(platformGCPercent)
 			debug.SetMemoryLimit(goMemoryLimit(settings.Memory))
 			store := platform.NewStore(settings.StoreAddress)
@@ -53,7 +51,7 @@
 				DecodeNotice:  platform.DecodeNotice,
 				ReadinessPath: platform.ReadinessPath,
 				ReloadSignals: reloadSignals,
-				Reload:        func() (*rrsettings.GatewaySettings, error) { return platform.LoadSettings(path) },
+				Reload:        load,
 			}, logger)
 			return node.Run(cmd.Context())
 		},
@@ -62,6 +60,18 @@
 	return cmd
 }
 
+// loadSettings reads the settings file. A metrics port above zero overrides that of the file.
+func loadSettings(path string, metricsPort uint16) (*rrsettings.GatewaySettings, error) {
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	if metricsPort > 0 {
+		settings.MetricsAddress = netip.AddrPortFrom(settings.CallerAddress.Addr(), metricsPort)
+	}
+	return settings, nil
+}
+
 // platformGCPercent lets the heap grow by half between collections. On the platform,
 // memory is scarcer than CPU time. A daemon of a large deployment allocates about
 // 2 MB/s with a live heap of up to 20 MB, so it collects every few seconds.
--- a/internal/app/rrnode/operators.go
+++ b/internal/app/rrnode/operators.go
@@ -41,9 +41,9 @@
 
 func (n *Node) identity() identity {
 	return identity{
-		ID:      n.settings.Instance,
-		Zone:    n.settings.Zone,
-		Region:  n.settings.Region,
+		ID:      n.settings.Load().Instance,
+		Zone:    n.settings.Load().Zone,
+		Region:  n.settings.Load().Region,
 		Leaving: n.leaving.Load(),
 		Ready:   n.isReady(),
 	}
--- a/internal/app/rrnode/reload.go
+++ b/internal/app/rrnode/reload.go
@@ -34,13 +34,14 @@
 		n.log.Failure("settings not taken", "cause", cause, "err", err)
 		return
 	}
-	if reflect.DeepEqual(settings, n.settings) {
+	old := n.settings.Load()
+	if reflect.DeepEqual(settings, old) {
 		return
 	}
-	if settings.CallerAddress != n.settings.CallerAddress || settings.ReadinessAddress != n.settings.ReadinessAddress || settings.PeerAddress != n.settings.PeerAddress {
+	if settings.CallerAddress != old.CallerAddress || settings.ReadinessAddress != old.ReadinessAddress || settings.PeerAddress != old.PeerAddress {
 		n.log.StateChange("changed addresses need a restart", "callers", settings.CallerAddress, "ready", settings.ReadinessAddress, "peers", settings.PeerAddress)
 	}
-	n.settings = settings
+	n.settings.Store(settings)
 	n.dispatchers.SetSettings(settings)
 	n.follower.SetSettings(settings.Seeds, settings.Bounds.MaxFollowTime())
 	n.log.StateChange("settings taken", "cause", cause, "seeds", len(settings.Seeds))
--- a/internal/app/rrnode/rrnode.go
+++ b/internal/app/rrnode/rrnode.go
@@ -73,7 +73,8 @@
 
 // Node is one daemon on a platform.
 type Node struct {
-	settings *rrsettings.GatewaySettings
+	// settings are those in force. A reload replaces them.
+	settings atomic.Pointer[rrsettings.GatewaySettings]
 	platform Platform
 	log      *rrlog.Log
 	leaving  atomic.Bool
@@ -87,7 +88,9 @@
 
 // New returns a daemon with settings that have been checked.
 func New(settings *rrsettings.GatewaySettings, platform Platform, logger *rrlog.Log) *Node {
-	return &Node{settings: settings, platform: platform, log: logger.With("instance", settings.Instance), metrics: rrmetrics.NewGatewayMetrics()}
+	n := &Node{platform: platform, log: logger.With("instance", settings.Instance), metrics: rrmetrics.NewGatewayMetrics()}
+	n.settings.Store(settings)
+	return n
 }
 
 // Run serves until ctx ends, then stops gracefully. It returns nil after a
@@ -114,7 +117,7 @@
 		closeAll(listeners)
 		return errors.Join(err, group.Wait())
 	}
-	n.log.StateChange("started", "callers", n.settings.CallerAddress, "ready", n.settings.ReadinessAddress, "platform", n.settings.StoreAddress)
+	n.log.StateChange("started", "callers", n.settings.Load().CallerAddress, "ready", n.settings.Load().ReadinessAddress, "platform", n.settings.Load().StoreAddress)
 	select {
 	case <-ctx.Done():
 	case <-gctx.Done():
@@ -131,21 +134,21 @@
 
 // build creates the components that serve requests and follow the platform's state.
 func (n *Node) build(workCtx context.Context, feeds rrpeers.FeedClient) {
-	n.dispatchers = rrdispatchers.New(workCtx, n.settings, n.forwarder, n.log, n.metrics,
+	n.dispatchers = rrdispatchers.New(workCtx, n.settings.Load(), n.forwarder, n.log, n.metrics,
 		rrdispatchers.WithQuarantine(func(q rrpeer.Quarantine) { n.follower.AnnounceQuarantine(q) }),
 		rrdispatchers.WithUnanswered(func() { n.follower.AnnounceCrashes() }))
 	n.gateway = rrgateway.New(n.dispatchers, n.platform.HeaderNames, n.log, n.metrics)
 	n.follower = rrfollow.New(rrfollow.Config{
 		Self: rrcatalog.Instance{
-			ID:          n.settings.Instance,
-			Zone:        n.settings.Zone,
-			Region:      n.settings.Region,
-			PeerAddress: n.settings.PeerAddress,
+			ID:          n.settings.Load().Instance,
+			Zone:        n.settings.Load().Zone,
+			Region:      n.settings.Load().Region,
+			PeerAddress: n.settings.Load().PeerAddress,
 		},
-		Seeds:         n.settings.Seeds,
-		ColdStart:     n.settings.ColdStart,
-		ApplyBound:    n.settings.Bounds.MaxFollowTime(),
-		LimitWindow:   n.settings.Bounds.ExtraWindow,
+		Seeds:         n.settings.Load().Seeds,
+		ColdStart:     n.settings.Load().ColdStart,
+		ApplyBound:    n.settings.Load().Bounds.MaxFollowTime(),
+		LimitWindow:   n.settings.Load().Bounds.ExtraWindow,
 		Store:         n.platform.Store,
 		Feeds:         feeds,
 		Log:           n.log,
@@ -183,9 +186,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.ReadinessPath, n.serveReadiness)
 	ready := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	all := []listener{{rrhttp.NewDrainable(callers), n.settings.CallerAddress}, {rrhttp.NewDrainable(ready), n.settings.ReadinessAddress}}
-	if n.settings.MetricsAddress.IsValid() {
-		all = append(all, listener{rrhttp.NewDrainable(n.operatorServer()), n.settings.MetricsAddress})
+	all := []listener{{rrhttp.NewDrainable(callers), n.settings.Load().CallerAddress}, {rrhttp.NewDrainable(ready), n.settings.Load().ReadinessAddress}}
+	if n.settings.Load().MetricsAddress.IsValid() {
+		all = append(all, listener{rrhttp.NewDrainable(n.operatorServer()), n.settings.Load().MetricsAddress})
 	}
 	return all
 }
@@ -219,7 +222,7 @@
 }
 
 func (n *Node) servePeers(ctx context.Context, group *errgroup.Group, srv *grpc.Server) error {
-	l, err := rrhttp.Bind(ctx, "tcp4", n.settings.PeerAddress.String())
+	l, err := rrhttp.Bind(ctx, "tcp4", n.settings.Load().PeerAddress.String())
 	if err != nil {
 		return err
 	}
@@ -250,7 +253,7 @@
 // deregistrationDelay returns how long the daemon still accepts connections after
 // its readiness probe has begun to fail.
 func (n *Node) deregistrationDelay() time.Duration {
-	return min(deregistrationDelay, n.settings.Bounds.GracePeriod/2)
+	return min(deregistrationDelay, n.settings.Load().Bounds.GracePeriod/2)
 }
 
 // drain takes the daemon out of service without aborting a request: it fails the
@@ -258,8 +261,8 @@
 // connections, and then waits for the requests in flight.
 func (n *Node) drain(ctx context.Context, callers *rrhttp.Server) {
 	n.leaving.Store(true)
-	n.log.StateChange("leaving", "grace", n.settings.Bounds.GracePeriod)
-	stopped := n.gateway.StopAt(n.gateway.Now().Add(n.settings.Bounds.GracePeriod - stopMargin))
+	n.log.StateChange("leaving", "grace", n.settings.Load().Bounds.GracePeriod)
+	stopped := n.gateway.StopAt(n.gateway.Now().Add(n.settings.Load().Bounds.GracePeriod - stopMargin))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// The time to write counts from the answers, which are late if the process was suspended.
