Refuse no version for a great rank

Cause: queues are kept for each rank up to the greatest, and a limit on the number stood in for a limit on their count. Tables with a rank above 63 get the places of their ranks in use now.

--- a/internal/domain/rrroute/check.go
+++ b/internal/domain/rrroute/check.go
@@ -7,9 +7,6 @@
 	"rhubarbreel.example/rhubarbreel/internal/domain/rrunit"
 )
 
-// MaxRank is the least urgent rank that a route may have.
-const MaxRank = 63
-
 // check returns an error that names the first invalid field.
 func (t *Table) check() error {
 	if t.Number == 0 {
@@ -48,8 +45,8 @@
 		return rrunit.Invalid(field+".prefix", "%q does not begin and end with a slash", r.Prefix)
 	case r.Kind != KindIdempotent && r.Kind != KindAtMostOnce:
 		return rrunit.Invalid(field+".kind", "%q is not a kind", r.Kind)
-	case r.Rank < 0 || r.Rank > MaxRank:
-		return rrunit.Invalid(field+".rank", "%d is not between 0 and %d", r.Rank, MaxRank)
+	case r.Rank < 0:
+		return rrunit.Invalid(field+".rank", "%d is below 0", r.Rank)
 	case r.Timeout <= 0:
 		return rrunit.Invalid(field+".timeout", "%s is not above 0s", r.Timeout)
 	case r.LatencyTarget < 0:
--- a/internal/domain/rrroute/rrroute.go
+++ b/internal/domain/rrroute/rrroute.go
@@ -108,6 +108,7 @@
 	if err := t.check(); err != nil {
 		return err
 	}
+	t.compactRanks()
 	t.byHost = make(map[string][]*Route)
 	t.shards = make(map[rrunit.ServiceName]bool)
 	for i := range t.Routes {
