Close a draining listener once

Cause: a listener that closed itself in Accept stays on http.Server's list until Accept returns, and a Shutdown in between closes it again. The second close does nothing now.

--- a/internal/adapter/rrhttp/drain.go
+++ b/internal/adapter/rrhttp/drain.go
@@ -166,9 +166,12 @@
 	closed atomic.Bool
 }
 
-// Close implements net.Listener.
+// Close implements net.Listener. It closes once: http.Server closes the listeners on its list,
+// and a listener that has closed by itself is there until Accept has returned.
 func (l *drainListener) Close() error {
-	l.closed.Store(true)
+	if l.closed.Swap(true) {
+		return nil
+	}
 	return l.TCPListener.Close()
 }
 
--- a/internal/adapter/rrhttp/drain_test.go
+++ b/internal/adapter/rrhttp/drain_test.go
@@ -227,3 +227,27 @@
 		t.Fatal("the drain has not ended")
 	}
 }
+
+// slowListener returns from Accept some time after the listener has closed.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		time.Sleep(100 * time.Millisecond)
+	}
+	return conn, err
+}
+
+// Guards against a drain that fails as it closes a listener which has closed by itself, but has
+// not told its server yet.
+func TestDrainWhileAcceptReturns(t *testing.T) {
+	server := rrhttp.NewDrainable(&http.Server{Handler: http.NotFoundHandler()})
+	l, err := rrhttp.Bind(t.Context(), "tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	listener := slowListener{server.Listener(l)}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	must.NoError(t, server.Drain(t.Context()))
+	must.NoError(t, <-served)
+}
