--- a/internal/soak/rrhistory/rrhistory_test.go
+++ b/internal/soak/rrhistory/rrhistory_test.go
@@ -50,6 +50,25 @@
 	return standin.RequestEvent{Searcher: searcher, Service: service, ID: "r", At: time.Now(), Ran: ran}
 }
 
+// recordBeforeChange records requests that a daemon with the version before the last one sends to
+// a shard that only that version has. The last ones are sent twice.
+func recordBeforeChange(h *rrhistory.History, requests, repeated int) {
+	h.RecordVersionSubmitted(2, []string{"s0", "s1"})
+	h.RecordVersionAcknowledged()
+	for i := range requests {
+		r := gathered(0, "s0", "s1", "s2")
+		r.ID, r.Status, r.Signatures, r.Body = fmt.Sprint("r", i), 502, nil, ""
+		arrivals := 1
+		if i >= requests-repeated {
+			arrivals = 2
+		}
+		for range arrivals {
+			h.RecordSearcherEvent(standin.RequestEvent{Searcher: "s2-0", Service: "s2", ID: r.ID, At: time.Now()})
+		}
+		h.RecordRequest(r)
+	}
+}
+
 // TestCheck checks that each history that breaks a promise is reported as a
 // violation of it, and that valid histories give no violation.
 func TestCheck(t *testing.T) {
@@ -160,9 +179,11 @@
 				h.RecordRequest(r)
 			}
 		}},
-		"requests over a named limit":             {rrhistory.PromiseLimit, func(h *rrhistory.History) { recordLimited(h, 21, time.Second) }},
-		"requests within a named limit":           {"", func(h *rrhistory.History) { recordLimited(h, 20, time.Second) }},
-		"requests over a limit named just before": {"", func(h *rrhistory.History) { recordLimited(h, 40, 400*time.Millisecond) }},
+		"extra attempts at a shard that the new version lacks": {rrhistory.PromiseBudget, func(h *rrhistory.History) { recordBeforeChange(h, 13, 4) }},
+		"few extra attempts at such a shard":                   {"", func(h *rrhistory.History) { recordBeforeChange(h, 13, 3) }},
+		"requests over a named limit":                          {rrhistory.PromiseLimit, func(h *rrhistory.History) { recordLimited(h, 21, time.Second) }},
+		"requests within a named limit":                        {"", func(h *rrhistory.History) { recordLimited(h, 20, time.Second) }},
+		"requests over a limit named just before":              {"", func(h *rrhistory.History) { recordLimited(h, 40, 400*time.Millisecond) }},
 		"requests over a limit that has ended": {"", func(h *rrhistory.History) {
 			h.BeginLimit("one-0")()
 			recordReceived(h, 40, time.Second)
