--- a/internal/policy/rrfreshness/rrfreshness.go
+++ b/internal/policy/rrfreshness/rrfreshness.go
@@ -13,7 +13,8 @@
 	// AnswerTime is the greatest age of a store answer on arrival: the usual 4 ms, slowed down
 	// 60 times at worst.
 	AnswerTime = 250 * time.Millisecond
-	// StoreTimeout bounds a call to the store, in addition to the wait that a watch requests.
+	// StoreTimeout bounds a call to the store, in addition to the wait that a watch requests. The
+	// store answers in milliseconds, and at worst 60 times more slowly.
 	StoreTimeout = 700 * time.Millisecond
 	// WatchPause is the pause after each watch, so that changes in quick succession are read
 	// together.
