Soak: entries of another writer, silent open connections, great ranks

An entry of another writer over a searcher's for 1.2 s; links whose open connections fall silent for up to 14 s while new ones work, also after the disturbance counts as ended; each version with a less urgent route than the one before; a new version as the readers of the store are killed.

--- a/internal/soak/rrplan/rrplan.go
+++ b/internal/soak/rrplan/rrplan.go
@@ -29,8 +29,9 @@
 	// DaemonReplace kills a daemon for good, and starts one of another name at its addresses
 	// after the event's duration.
 	DaemonReplace Kind = "daemon-replace"
-	// ReadersKill kills the daemons that read the store. Before they start again, a searcher
-	// is removed from the store without a word, and goes on serving until it is replaced.
+	// ReadersKill kills the daemons that read the store and changes the routes. Before they
+	// start again, a searcher is removed from the store without a word, and goes on serving
+	// until it is replaced.
 	ReadersKill Kind = "readers-kill"
 	// SearcherKill kills a searcher and starts a replacement.
 	SearcherKill Kind = "searcher-kill"
@@ -45,6 +46,9 @@
 	SearcherLeaves Kind = "searcher-says-leaving"
 	// SearcherAsksPause makes a searcher refuse all requests and ask for a pause.
 	SearcherAsksPause Kind = "searcher-asks-pause"
+	// SearcherEntry puts an entry of another writer over a searcher's: it names another service
+	// and lacks fields. The searcher's own comes back at the end.
+	SearcherEntry Kind = "searcher-entry"
 	// SearcherAnswer makes a searcher send an odd answer in place of a share of its answers.
 	SearcherAnswer Kind = "searcher-answer"
 	// RequestCrash sends a request that ends the searchers that run it, again and again.
@@ -79,6 +83,8 @@
 	LinkBlockFrom Kind = "link-mute-from"
 	// LinkBlockBoth blocks both directions.
 	LinkBlockBoth Kind = "link-silent"
+	// LinkBlockOpen blocks both directions of the connections that the link has at the start.
+	LinkBlockOpen Kind = "link-open-silent"
 )
 
 // Link is a network link of a daemon or a searcher.
@@ -180,6 +186,9 @@
 	{stream: 5, kind: SearcherLeaves, meanInterval: 5 * time.Second, duration: 10 * time.Second},
 	{stream: 6, kind: SearcherAsksPause, meanInterval: 2 * time.Second},
 	{stream: 7, kind: DaemonReplace, meanInterval: 10 * time.Second},
+	{stream: 8, kind: SearcherEntry, meanInterval: 4 * time.Second, duration: 1200 * time.Millisecond},
+	// What is silent is used again long after.
+	{stream: 9, kind: LinkBlockOpen, meanInterval: 3 * time.Second, duration: 14 * time.Second},
 }
 
 // New generates the plan of a run of the given duration.
@@ -235,7 +244,7 @@
 	switch e.Kind {
 	case DaemonStop, DaemonKill, DaemonPause, DaemonReload, DaemonReplace:
 		e.Target = pick(r, targets.Daemons)
-	case SearcherKill, SearcherPause, SearcherDrain, SearcherLimit, SearcherLeaves, SearcherAsksPause, ReadersKill, StoreExpireEntries:
+	case SearcherKill, SearcherPause, SearcherDrain, SearcherLimit, SearcherLeaves, SearcherAsksPause, SearcherEntry, ReadersKill, StoreExpireEntries:
 		e.Target = pick(r, targets.Searchers)
 	case SearcherAnswer:
 		e.Target = pick(r, targets.Searchers)
@@ -245,8 +254,8 @@
 		e.Target = pick(r, targets.Routes)
 		e.Delay = time.Duration(r.Int64N(int64(maxCrashDelay))).Round(time.Millisecond)
 		e.Patience = pick(r, []time.Duration{0, 25 * time.Millisecond, 100 * time.Millisecond})
-	case LinkDelay, LinkReset, LinkBlockTo, LinkBlockFrom, LinkBlockBoth:
-		e.Link = pick(r, []Link{LinkCallers, LinkPeers, LinkStore, LinkSearcher, LinkSearcher})
+	case LinkDelay, LinkReset, LinkBlockTo, LinkBlockFrom, LinkBlockBoth, LinkBlockOpen:
+		e.Link = pick(r, linksOf(e.Kind))
 		e.Target = pick(r, targets.Daemons)
 		if e.Link == LinkSearcher {
 			e.Target = pick(r, targets.Searchers)
@@ -256,6 +265,16 @@
 	}
 }
 
+// linksOf returns the links that events of the kind hit. One that is listed more than once is hit
+// more often.
+func linksOf(kind Kind) []Link {
+	if kind == LinkBlockOpen {
+		// A caller whose connection falls silent cannot tell, and waits.
+		return []Link{LinkPeers, LinkStore, LinkStore, LinkSearcher, LinkSearcher}
+	}
+	return []Link{LinkCallers, LinkPeers, LinkStore, LinkSearcher, LinkSearcher}
+}
+
 func pick[T any](r *rand.Rand, from []T) T { return from[r.IntN(len(from))] }
 
 // Select returns the events whose numbers are in only (all if only is empty),
--- a/internal/soak/rrplan/rrplan_test.go
+++ b/internal/soak/rrplan/rrplan_test.go
@@ -28,7 +28,7 @@
 		must.LessEq(t, duration-rrplan.FinalQuietTime, e.Start+e.Duration)
 	}
 	must.Eq(t, len(plan), len(numbers))
-	for _, kind := range []rrplan.Kind{rrplan.SearcherLimit, rrplan.ReadersKill, rrplan.SearcherAnswer, rrplan.RequestCrash, rrplan.SearcherLeaves, rrplan.SearcherAsksPause} {
+	for _, kind := range []rrplan.Kind{rrplan.SearcherLimit, rrplan.ReadersKill, rrplan.SearcherAnswer, rrplan.RequestCrash, rrplan.SearcherLeaves, rrplan.SearcherAsksPause, rrplan.SearcherEntry, rrplan.LinkBlockOpen} {
 		must.True(t, kinds[kind], must.Sprint(kind))
 	}
 	must.Greater(t, 15, len(kinds))
--- a/internal/soak/rrproxy/rrproxy.go
+++ b/internal/soak/rrproxy/rrproxy.go
@@ -22,6 +22,8 @@
 	// BlockTo and BlockFrom hold back the bytes to and from the target until the
 	// fault ends.
 	BlockTo, BlockFrom bool
+	// BlockOpen does both on the connections that are open when the fault begins.
+	BlockOpen bool
 	// Delay is added to every chunk, in each direction.
 	Delay time.Duration
 }
@@ -43,6 +45,8 @@
 	changed chan struct{}
 	conns   map[net.Conn]bool
 	closed  bool
+	// accepted counts the connections, and acceptedBefore those before the fault.
+	accepted, acceptedBefore int
 }
 
 // bufferSizeBytes is the most that is read and delayed as one chunk.
@@ -120,7 +124,7 @@
 func (p *Proxy) SetFault(f Fault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fault = f
+	p.fault, p.acceptedBefore = f, p.accepted
 	close(p.changed)
 	p.changed = make(chan struct{})
 	if f.Reset {
@@ -184,6 +188,10 @@
 		return
 	}
 	defer p.remove(in)
+	p.mu.Lock()
+	p.accepted++
+	number := p.accepted
+	p.mu.Unlock()
 	var d net.Dialer
 	out, err := d.DialContext(p.ctx, "tcp4", p.target)
 	if err != nil {
@@ -198,8 +206,10 @@
 	}
 	defer p.remove(out)
 	var copies sync.WaitGroup
-	copies.Go(func() { p.copy(out, in, func(f Fault) bool { return f.BlockTo }, func() {}) })
-	copies.Go(func() { p.copy(in, out, func(f Fault) bool { return f.BlockFrom }, p.checkTarget) })
+	// Called with mu held.
+	isBlockedOpen := func() bool { return p.fault.BlockOpen && number <= p.acceptedBefore }
+	copies.Go(func() { p.copy(out, in, func(f Fault) bool { return f.BlockTo || isBlockedOpen() }, func() {}) })
+	copies.Go(func() { p.copy(in, out, func(f Fault) bool { return f.BlockFrom || isBlockedOpen() }, p.checkTarget) })
 	copies.Wait()
 }
 
--- a/internal/soak/rrproxy/rrproxy_test.go
+++ b/internal/soak/rrproxy/rrproxy_test.go
@@ -84,6 +84,16 @@
 		must.NoError(t, err, must.Sprint("blocked bytes arrive once the fault ends"))
 	}
 
+	p.SetFault(rrproxy.Fault{BlockOpen: true})
+	_, ok = roundTrip(c)
+	must.False(t, ok)
+	_, ok = roundTrip(dial())
+	must.True(t, ok, must.Sprint("a connection of after the fault began is not blocked"))
+	p.SetFault(rrproxy.Fault{})
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	_, err = bufio.NewReader(c).ReadString('\n')
+	must.NoError(t, err)
+
 	p.SetFault(rrproxy.Fault{Reset: true})
 	_, ok = roundTrip(c)
 	must.False(t, ok, must.Sprint("an open connection is reset"))
--- a/internal/soak/rrsoak/fleet.go
+++ b/internal/soak/rrsoak/fleet.go
@@ -455,6 +455,9 @@
 	return eris.Wrap(os.WriteFile(f.settingsPath(n), settings.TOML(), 0o600), "writing settings")
 }
 
+// rankStep is how much less urgent the own route of each version is than that of the one before.
+const rankStep = 30
+
 // putTable writes the next version of the table, with a route that only this
 // version has, and the other of the two layouts.
 func (f *fleet) putTable() error {
@@ -463,9 +466,10 @@
 	f.version++
 	shards := layouts[f.version%len(layouts)]
 	routing := standin.Routing{Host: host, Timeout: routeTimeout, TargetLatency: latencyTarget, Attempts: routeAttempts}
+	own := routing.Route(fmt.Sprintf("v%d", f.version), "one", true)
+	own["priority"] = rankStep * f.version
 	table := standin.Table(f.version, services,
-		routing.Gather(routeGather, shards, topK, minCoverage), routing.Route(routeIdempotent, "one", true), routing.Route(routeOnce, "one", false),
-		routing.Route(fmt.Sprintf("v%d", f.version), "one", true))
+		routing.Gather(routeGather, shards, topK, minCoverage), routing.Route(routeIdempotent, "one", true), routing.Route(routeOnce, "one", false), own)
 	f.history.RecordVersionSubmitted(f.version, shards)
 	if err := f.storeControl.Put(f.ctx, standin.ObjectTables, standin.TableName, table); err != nil {
 		return err
--- a/internal/soak/rrsoak/inject.go
+++ b/internal/soak/rrsoak/inject.go
@@ -43,7 +43,7 @@
 		return f.injectDaemon(e, f.daemons[e.Target])
 	case rrplan.ReadersKill:
 		return f.injectReadersKill(e, f.searchers[e.Target])
-	case rrplan.SearcherKill, rrplan.SearcherPause, rrplan.SearcherDrain:
+	case rrplan.SearcherKill, rrplan.SearcherPause, rrplan.SearcherDrain, rrplan.SearcherEntry:
 		return f.injectSearcher(e, f.searchers[e.Target])
 	case rrplan.SearcherLimit, rrplan.SearcherAnswer, rrplan.SearcherAsksPause:
 		f.injectOrder(e, f.searchers[e.Target])
@@ -63,7 +63,7 @@
 			rrunit.Sleep(f.ctx, burstInterval)
 		}
 		return nil
-	case rrplan.LinkDelay, rrplan.LinkReset, rrplan.LinkBlockTo, rrplan.LinkBlockFrom, rrplan.LinkBlockBoth:
+	case rrplan.LinkDelay, rrplan.LinkReset, rrplan.LinkBlockTo, rrplan.LinkBlockFrom, rrplan.LinkBlockBoth, rrplan.LinkBlockOpen:
 		f.injectLink(e)
 		return nil
 	}
@@ -149,6 +149,9 @@
 		}()
 		n.process.stop(syscall.SIGKILL, graceTime)
 	}
+	if err := f.putTable(); err != nil {
+		return err
+	}
 	if err := f.storeControl.Delete(f.ctx, standin.ObjectSearchers, searcher.searcherID); err != nil {
 		return err
 	}
@@ -185,7 +188,10 @@
 		// Requests in progress there may take up to their route's timeout.
 		rrunit.Sleep(f.ctx, drainTime+routeTimeout)
 	}
-	if e.Kind == rrplan.SearcherKill {
+	switch e.Kind {
+	case rrplan.SearcherEntry:
+		return f.overwriteEntry(e, n)
+	case rrplan.SearcherKill:
 		return f.replaceSearcher(n, e.Duration)
 	}
 	return f.replaceSearcher(n, 0)
@@ -253,6 +259,20 @@
 	return f.replaceSearcher(n, 0)
 }
 
+// overwriteEntry puts another writer's entry over a searcher's for the event's duration. The
+// caller holds n.mu.
+func (f *fleet) overwriteEntry(e rrplan.Event, n *node) error {
+	foreign := n.entrySpec(standin.StateReady)
+	foreign["service"] = services[(slices.Index(services, n.service)+1)%len(services)]
+	delete(foreign, "version")
+	delete(foreign, "sequence")
+	if err := f.storeControl.Put(f.ctx, standin.ObjectSearchers, n.searcherID, foreign); err != nil {
+		return err
+	}
+	rrunit.Sleep(f.ctx, e.Duration)
+	return f.storeControl.Put(f.ctx, standin.ObjectSearchers, n.searcherID, n.entrySpec(standin.StateReady))
+}
+
 // beginOrder returns false if the searcher already has orders of the kind.
 func (n *node) beginOrder(kind rrplan.Kind) bool {
 	n.ordersMu.Lock()
@@ -286,15 +306,22 @@
 	faults := map[rrplan.Kind]rrproxy.Fault{
 		rrplan.LinkDelay: {Delay: injectedDelay}, rrplan.LinkReset: {Reset: true}, rrplan.LinkBlockTo: {BlockTo: true},
 		rrplan.LinkBlockFrom: {BlockFrom: true}, rrplan.LinkBlockBoth: {BlockTo: true, BlockFrom: true},
+		rrplan.LinkBlockOpen: {BlockOpen: true},
 	}
 	n, subject := f.daemons[e.Target], e.Target
 	if e.Link == rrplan.LinkSearcher {
 		n = f.searchers[e.Target]
 		subject = n.currentSearcherID()
 	}
-	defer f.history.BeginDisturbance(subject, false)()
+	endDisturbance := f.history.BeginDisturbance(subject, false)
 	n.proxies[e.Link].SetFault(faults[e.Kind])
+	if e.Kind == rrplan.LinkBlockOpen {
+		// New connections work at once, and nothing else is disturbed.
+		endDisturbance()
+		endDisturbance = func() {}
+	}
 	rrunit.Sleep(f.ctx, e.Duration)
+	endDisturbance()
 	n.proxies[e.Link].SetFault(rrproxy.Fault{})
 }
 
