--- a/internal/app/rrnode/rrnode.go
+++ b/internal/app/rrnode/rrnode.go
@@ -117,7 +117,8 @@
 		closeAll(listeners)
 		return errors.Join(err, group.Wait())
 	}
-	n.log.StateChange("started", "callers", n.settings.Load().CallerAddress, "ready", n.settings.Load().ReadinessAddress, "platform", n.settings.Load().StoreAddress)
+	cfg := n.settings.Load()
+	n.log.StateChange("started", "callers", cfg.CallerAddress, "ready", cfg.ReadinessAddress, "platform", cfg.StoreAddress)
 	select {
 	case <-ctx.Done():
 	case <-gctx.Done():
@@ -134,21 +135,22 @@
 
 // build creates the components that serve requests and follow the platform's state.
 func (n *Node) build(workCtx context.Context, feeds rrpeers.FeedClient) {
-	n.dispatchers = rrdispatchers.New(workCtx, n.settings.Load(), n.forwarder, n.log, n.metrics,
+	cfg := n.settings.Load()
+	n.dispatchers = rrdispatchers.New(workCtx, cfg, n.forwarder, n.log, n.metrics,
 		rrdispatchers.WithQuarantine(func(q rrpeer.Quarantine) { n.follower.AnnounceQuarantine(q) }),
 		rrdispatchers.WithUnanswered(func() { n.follower.AnnounceCrashes() }))
 	n.gateway = rrgateway.New(n.dispatchers, n.platform.HeaderNames, n.log, n.metrics)
 	n.follower = rrfollow.New(rrfollow.Config{
 		Self: rrcatalog.Instance{
-			ID:          n.settings.Load().Instance,
-			Zone:        n.settings.Load().Zone,
-			Region:      n.settings.Load().Region,
-			PeerAddress: n.settings.Load().PeerAddress,
+			ID:          cfg.Instance,
+			Zone:        cfg.Zone,
+			Region:      cfg.Region,
+			PeerAddress: cfg.PeerAddress,
 		},
-		Seeds:         n.settings.Load().Seeds,
-		ColdStart:     n.settings.Load().ColdStart,
-		ApplyBound:    n.settings.Load().Bounds.MaxFollowTime(),
-		LimitWindow:   n.settings.Load().Bounds.ExtraWindow,
+		Seeds:         cfg.Seeds,
+		ColdStart:     cfg.ColdStart,
+		ApplyBound:    cfg.Bounds.MaxFollowTime(),
+		LimitWindow:   cfg.Bounds.ExtraWindow,
 		Store:         n.platform.Store,
 		Feeds:         feeds,
 		Log:           n.log,
@@ -186,9 +188,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.platform.ReadinessPath, n.serveReadiness)
 	ready := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	all := []listener{{rrhttp.NewDrainable(callers), n.settings.Load().CallerAddress}, {rrhttp.NewDrainable(ready), n.settings.Load().ReadinessAddress}}
-	if n.settings.Load().MetricsAddress.IsValid() {
-		all = append(all, listener{rrhttp.NewDrainable(n.operatorServer()), n.settings.Load().MetricsAddress})
+	cfg := n.settings.Load()
+	all := []listener{{rrhttp.NewDrainable(callers), cfg.CallerAddress}, {rrhttp.NewDrainable(ready), cfg.ReadinessAddress}}
+	if cfg.MetricsAddress.IsValid() {
+		all = append(all, listener{rrhttp.NewDrainable(n.operatorServer()), cfg.MetricsAddress})
 	}
 	return all
 }
@@ -261,8 +264,9 @@
 // connections, and then waits for the requests in flight.
 func (n *Node) drain(ctx context.Context, callers *rrhttp.Server) {
 	n.leaving.Store(true)
-	n.log.StateChange("leaving", "grace", n.settings.Load().Bounds.GracePeriod)
-	stopped := n.gateway.StopAt(n.gateway.Now().Add(n.settings.Load().Bounds.GracePeriod - stopMargin))
+	grace := n.settings.Load().Bounds.GracePeriod
+	n.log.StateChange("leaving", "grace", grace)
+	stopped := n.gateway.StopAt(n.gateway.Now().Add(grace - stopMargin))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// The time to write counts from the answers, which are late if the process was suspended.
--- a/internal/policy/rrfreshness/rrfreshness.go
+++ b/internal/policy/rrfreshness/rrfreshness.go
@@ -10,8 +10,8 @@
 	Margin = 500 * time.Millisecond
 	// PlanInterval is how often a daemon decides whom to ask.
 	PlanInterval = 100 * time.Millisecond
-	// AnswerTime is the greatest age of a store answer on arrival: the usual 4 ms, slowed down
-	// 60 times at worst.
+	// AnswerTime is the greatest age of a store answer on arrival, from a store that is slowed
+	// down 60 times.
 	AnswerTime = 250 * time.Millisecond
 	// StoreTimeout bounds a call to the store, in addition to the wait that a watch requests. The
 	// store answers in milliseconds, and at worst 60 times more slowly.
@@ -29,7 +29,7 @@
 )
 
 // Limits of the waits that depend on the bound. The least ones keep daemons from calling
-// without a pause; with them a bound of 2 s is met without the margin.
+// without a pause. Below a bound of 2.5 s they use up the margin.
 const (
 	minStoreWait = 300 * time.Millisecond
 	maxStoreWait = 2 * time.Second
@@ -70,8 +70,8 @@
 	return t
 }
 
-// usualAge is what the age of a daemon's data is above the watches of the store and of the
-// daemon that reads it.
+// usualAge is the greatest age of a daemon's data while nothing fails, less the waits at the store
+// and at the daemon that reads it.
 const usualAge = AnswerTime + WatchPause + AnswerTime + RelayTime
 
 // Wait is a part of the time until a daemon applies a change.
